--- a/brain/example_test.go
+++ b/brain/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"gaugemount/brain"
+	"windflow/brain"
 )
 
 // A controller with one class and one engine sends the first query at once.
--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -11,7 +11,7 @@
 	"os"
 	"time"
 
-	"gaugemount/brain"
+	"windflow/brain"
 )
 
 func main() {
--- a/cmd/drill/wire.go
+++ b/cmd/drill/wire.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"gaugemount/brain"
+	"windflow/brain"
 )
 
 // plain words a JSON error without Go's type names.
