--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"windflow/brain"
+	"windflow/internal/settings"
 )
 
 func main() {
@@ -144,8 +145,8 @@
 // start creates or replaces an instance.
 func (h *host) start(who int64, body json.RawMessage) error {
 	var m struct {
-		Nonce    uint64    `json:"nonce64"`
-		Settings *settings `json:"settings"`
+		Nonce    uint64             `json:"nonce64"`
+		Settings *settings.Settings `json:"settings"`
 	}
 	if err := decode(body, &m); err != nil {
 		return err
@@ -153,7 +154,7 @@
 	if m.Settings == nil {
 		return errors.New("field settings is missing")
 	}
-	cfg, err := m.Settings.config(m.Nonce)
+	cfg, err := m.Settings.Config(m.Nonce)
 	if err != nil {
 		return fmt.Errorf("field settings: %w", err)
 	}
--- a/cmd/drill/wire.go
+++ b/cmd/drill/wire.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"windflow/brain"
+	"windflow/internal/settings"
 )
 
 // plain words a JSON error without Go's type names.
@@ -25,22 +26,7 @@
 	return nil
 }
 
-// word looks a wire word up in a table.
-func word[T any](field, w string, table map[string]T) (T, error) {
-	v, ok := table[w]
-	if !ok {
-		return v, fmt.Errorf("%s: unknown value %q", field, w)
-	}
-	return v, nil
-}
-
 var (
-	semantics = map[string]brain.Semantics{"": brain.Idempotent, "idempotent": brain.Idempotent,
-		"deduplicated": brain.Deduplicated, "at_most_once": brain.AtMostOnce}
-	scopes = map[string]brain.Scope{"": brain.ScopeAll, "all": brain.ScopeAll, "zone": brain.ScopeZone,
-		"cell": brain.ScopeCell}
-	shortages = map[string]brain.Shortage{"": brain.ShortQueue, "queue": brain.ShortQueue,
-		"trim": brain.ShortTrim, "swap": brain.ShortSwap}
 	states = map[string]brain.EngineState{"live": brain.Live, "quiescing": brain.Draining, "dead": brain.Gone}
 	modes  = map[string]brain.ListMode{"FULL": brain.ListFull, "INCREMENTAL": brain.ListChanges,
 		"SAVED": brain.ListSaved, "FAILED": brain.ListFailed}
@@ -49,133 +35,6 @@
 		"connection_lost": brain.Reset, "called_off": brain.Cancelled, "not_sent": brain.NotSent}
 )
 
-// settings is the wire form of brain.Config; unknown fields are ignored.
-type settings struct {
-	Me        int    `json:"me"`
-	Balancers int    `json:"balancers"`
-	Zone      string `json:"zone"`
-	Discovery string `json:"discovery"`
-	PeriodNS  int64  `json:"period-ns"`
-	Classes   []struct {
-		Name      string   `json:"name"`
-		Stretch   float64  `json:"aim-stretch"`
-		Credit    float64  `json:"credit"`
-		Deadline  int64    `json:"deadline-ns"`
-		Scope     string   `json:"dedup-scope"`
-		Goal      int64    `json:"goal-time-ns"`
-		LateValue float64  `json:"late-value"`
-		Semantics string   `json:"semantics"`
-		Window    int64    `json:"window-ns"`
-		FifoByKey bool     `json:"fifo-by-key"`
-		StaysIn   []string `json:"stays-in"`
-		AllowedOn []string `json:"allowed-on"`
-	} `json:"classes"`
-	Kinds   []string `json:"kinds"`
-	Parties []struct {
-		Name  string  `json:"name"`
-		Quota float64 `json:"quota-rps"`
-	} `json:"parties"`
-	OverShareWorth float64 `json:"over-share-worth"`
-	Limits         struct {
-		AttemptsCap   int   `json:"attempts-cap"`
-		Cancel        bool  `json:"cancel"`
-		SecondCopies  bool  `json:"second-copies"`
-		RetryAfter    bool  `json:"retry-after"`
-		MaxRetryAfter int64 `json:"max-retry-after-ns"`
-	} `json:"limits"`
-	Rules struct {
-		AskWithin       int64   `json:"ask-within-ns"`
-		ColdFrom        float64 `json:"cold-from"`
-		ColdNS          int64   `json:"cold-ns"`
-		OverloadFactor  float64 `json:"overload-factor"`
-		OverloadFor     int64   `json:"overload-for-ns"`
-		KeyRest         int64   `json:"key-rest-ns"`
-		BudgetFree      float64 `json:"budget-free"`
-		ExtraPerRequest float64 `json:"extra-per-request"`
-		LookBack        int64   `json:"look-back-ns"`
-	} `json:"rules"`
-	Specifics struct {
-		Load       []bool    `json:"class-load"`
-		Cores      []float64 `json:"cores-by-kind"`
-		Grants     bool      `json:"grants-count"`
-		MemoryMB   []float64 `json:"kind-memory-mb"`
-		MaxGrant   float64   `json:"max-grant-share"`
-		Overbooked string    `json:"overbooked"`
-		NoteEvery  int64     `json:"note-period-ns"`
-		Priorities bool      `json:"priorities"`
-		Width      []int     `json:"width-by-class"`
-		Yields     []bool    `json:"yields-to-loads"`
-	} `json:"specifics"`
-}
-
-// at returns the i-th value of a per-class or per-kind list; an absent list gives the zero value.
-func at[T any](list []T, i int) T {
-	if i < len(list) {
-		return list[i]
-	}
-	var zero T
-	return zero
-}
-
-// perItem checks that a list is absent or has one value for each of n items.
-func perItem[T any](field string, list []T, n int) error {
-	if len(list) != 0 && len(list) != n {
-		return fmt.Errorf("%s: has %d values for %d entries", field, len(list), n)
-	}
-	return nil
-}
-
-// config translates the settings.
-func (s *settings) config(nonce uint64) (brain.Config, error) {
-	sp := &s.Specifics
-	n, k := len(s.Classes), len(s.Kinds)
-	for _, err := range []error{perItem("specifics.class-load", sp.Load, n),
-		perItem("specifics.width-by-class", sp.Width, n), perItem("specifics.yields-to-loads", sp.Yields, n),
-		perItem("specifics.cores-by-kind", sp.Cores, k), perItem("specifics.kind-memory-mb", sp.MemoryMB, k)} {
-		if err != nil {
-			return brain.Config{}, err
-		}
-	}
-	shortage, err := word("specifics.overbooked", sp.Overbooked, shortages)
-	if err != nil {
-		return brain.Config{}, err
-	}
-	d := func(ns int64) time.Duration { return time.Duration(ns) }
-	cfg := brain.Config{
-		Seed: nonce, Instance: s.Me, Gateways: s.Balancers, Zone: s.Zone,
-		OverShareWorth: s.OverShareWorth, MaxAttempts: s.Limits.AttemptsCap, Cancel: s.Limits.Cancel,
-		SecondCopies: s.Limits.SecondCopies, RetryAfter: s.Limits.RetryAfter,
-		MaxRetryAfter: d(s.Limits.MaxRetryAfter), AskedDiscovery: s.Discovery == "subscribe",
-		Grants: sp.Grants, MaxGrantShare: sp.MaxGrant, Priorities: sp.Priorities, Shortage: shortage,
-		NoteEvery: d(sp.NoteEvery), Tick: d(s.PeriodNS), AskWithin: d(s.Rules.AskWithin), ColdFrom: s.Rules.ColdFrom,
-		ColdFor: d(s.Rules.ColdNS), OverloadFactor: s.Rules.OverloadFactor,
-		OverloadFor: d(s.Rules.OverloadFor), KeyRest: d(s.Rules.KeyRest),
-		Budget: brain.RetryBudget{Window: d(s.Rules.LookBack), Free: s.Rules.BudgetFree,
-			PerRequest: s.Rules.ExtraPerRequest},
-	}
-	for i, c := range s.Classes {
-		sem, err := word(fmt.Sprintf("classes[%d].semantics", i), c.Semantics, semantics)
-		if err != nil {
-			return cfg, err
-		}
-		scope, err := word(fmt.Sprintf("classes[%d].dedup-scope", i), c.Scope, scopes)
-		if err != nil {
-			return cfg, err
-		}
-		cfg.Classes = append(cfg.Classes, brain.Class{Name: c.Name, Aim: d(c.Goal), AimStretch: c.Stretch,
-			Deadline: d(c.Deadline), Worth: c.Credit, LateWorth: c.LateValue, Semantics: sem, Scope: scope,
-			Window: d(c.Window), OrderByKey: c.FifoByKey, Zones: c.StaysIn, Kinds: c.AllowedOn,
-			Threads: at(sp.Width, i), Load: at(sp.Load, i), WaitsOnLoad: at(sp.Yields, i)})
-	}
-	for _, t := range s.Parties {
-		cfg.Tenants = append(cfg.Tenants, brain.Tenant{Name: t.Name, Quota: t.Quota})
-	}
-	for i, name := range s.Kinds {
-		cfg.Kinds = append(cfg.Kinds, brain.Kind{Name: name, Cores: at(sp.Cores, i), MemoryMB: at(sp.MemoryMB, i)})
-	}
-	return cfg, nil
-}
-
 // wireEntry is one element of a REGISTER.
 type wireEntry struct {
 	Executor  *uint64 `json:"executor"`
@@ -191,7 +50,7 @@
 	if e.Executor == nil {
 		return brain.Engine{}, errors.New("executor is missing")
 	}
-	state, err := word("condition", e.Condition, states)
+	state, err := settings.Word("condition", e.Condition, states)
 	return brain.Engine{ID: brain.EngineID(*e.Executor), Cell: e.Block, Zone: e.Site, Kind: e.Flavor,
 		Size: e.Units, State: state, Born: time.Duration(e.Born)}, err
 }
@@ -249,7 +108,7 @@
 	}
 	switch name {
 	case "ENDPOINTS":
-		mode, err := word("field mode", m.Mode, modes)
+		mode, err := settings.Word("field mode", m.Mode, modes)
 		if err != nil {
 			return nil, err
 		}
@@ -275,7 +134,7 @@
 		if err != nil {
 			return nil, err
 		}
-		outcome, err := word("field disposition", m.Disposition, outcomes)
+		outcome, err := settings.Word("field disposition", m.Disposition, outcomes)
 		return brain.AttemptEnd{Request: id, Attempt: m.Hop, Outcome: outcome,
 			Took: time.Duration(m.DelaySeen), Last: m.Last, Load: m.load()}, err
 	case "STREAMING":
--- /dev/null
+++ b/cmd/windflow/status.go
@@ -0,0 +1,61 @@
+package main
+
+import (
+	"log/slog"
+	"reflect"
+	"strconv"
+	"strings"
+
+	"windflow/brain"
+)
+
+var outcomes = map[brain.Outcome]string{brain.Served: "served", brain.Errored: "errored", brain.Full: "full",
+	brain.TimedOut: "timed_out", brain.ConnectFailed: "connect_failed", brain.Reset: "reset",
+	brain.Cancelled: "cancelled", brain.NotSent: "not_sent"}
+
+// status lists the counters of all parts, and what is open now.
+func (r *node) status() [][2]string {
+	rows := [][2]string{
+		{"core.open", strconv.Itoa(r.core.Open())},
+		{"fetch.connections", strconv.Itoa(r.client.Conns())},
+	}
+	for _, part := range []struct {
+		name string
+		of   any
+	}{{"core", r.core.Counters}, {"mysql", r.front.Counters}, {"fetch", r.client.Counters},
+		{"board", r.board.Counters}} {
+		v := reflect.ValueOf(part.of)
+		for i := range v.NumField() {
+			name := part.name + "." + snake(v.Type().Field(i).Name)
+			if v.Field(i).Kind() != reflect.Array {
+				rows = append(rows, [2]string{name, strconv.FormatInt(v.Field(i).Int(), 10)})
+				continue
+			}
+			for o := range v.Field(i).Len() {
+				rows = append(rows, [2]string{name + "." + outcomes[brain.Outcome(o)],
+					strconv.FormatInt(v.Field(i).Index(o).Int(), 10)})
+			}
+		}
+	}
+	return rows
+}
+
+// snake turns a field's name into a counter's.
+func snake(s string) string {
+	var b strings.Builder
+	for i, c := range s {
+		if i > 0 && c >= 'A' && c <= 'Z' {
+			b.WriteByte('_')
+		}
+		b.WriteString(strings.ToLower(string(c)))
+	}
+	return b.String()
+}
+
+func (r *node) printCounters(why string) {
+	var attrs []any
+	for _, kv := range r.status() {
+		attrs = append(attrs, slog.String(kv[0], kv[1]))
+	}
+	r.log.Info(why, attrs...)
+}
--- /dev/null
+++ b/internal/board/board.go
@@ -0,0 +1,288 @@
+// Package board follows the notice board: numbered changes of the list of engines, as JSON in the
+// configuration and as frames over TCP from then on.
+package board
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math"
+	"net/netip"
+	"strconv"
+	"strings"
+
+	"windflow/brain"
+	"windflow/internal/clock"
+	"windflow/internal/netio"
+	"windflow/internal/router"
+	"windflow/internal/settings"
+)
+
+const (
+	headerLength = 4
+	frameHead    = 9 // number and kind
+	recordLength = 27
+	maxFrame     = 1 << 20
+
+	kindNothing = 0
+	kindWhole   = 1
+	kindChanges = 2
+
+	dialTimeout = 250.0
+	// silence is how long the board may say nothing, in milliseconds, before the link counts as dead: it
+	// sends a frame each second.
+	silence = 2500.0
+	// redial is the wait before the link is opened again.
+	redial = 100.0
+	// maxStart bounds the start of an engine, in Unix milliseconds, to what a time.Duration can hold.
+	maxStart = math.MaxInt64 / 1_000_000
+)
+
+// List is one event: engines, and where they listen.
+type List struct {
+	Events brain.EngineList
+	Addrs  map[brain.EngineID]string
+}
+
+// Names are the lists of the settings that records point into.
+type Names struct{ Zones, Kinds []string }
+
+var states = map[string]brain.EngineState{"active": brain.Live, "leaving": brain.Draining, "left": brain.Gone}
+
+// ParseKnown folds the events that the configuration holds into one complete list, and gives the number of
+// the last one.
+func ParseKnown(text []byte) (List, uint64, error) {
+	var known struct {
+		Rev     uint64 `json:"rev"`
+		Notices []struct {
+			Rev  uint64 `json:"rev"`
+			Pool *struct {
+				Complete bool `json:"complete"`
+				Members  []struct {
+					ID       string  `json:"id"`
+					HostPort string  `json:"host_port"`
+					Locality string  `json:"locality"`
+					Flavor   string  `json:"flavor"`
+					Cell     int     `json:"cell"`
+					Phase    string  `json:"phase"`
+					Size     float64 `json:"size"`
+					UpSince  float64 `json:"up_since_ms"`
+				} `json:"members"`
+			} `json:"pool"`
+		} `json:"notices"`
+	}
+	l := List{Events: brain.EngineList{Mode: brain.ListSaved}, Addrs: map[brain.EngineID]string{}}
+	if len(text) == 0 {
+		return l, 0, nil
+	}
+	if err := settings.Decode(text, &known); err != nil {
+		return l, 0, err
+	}
+	at := map[brain.EngineID]int{}
+	for i, n := range known.Notices {
+		if n.Pool == nil {
+			continue
+		}
+		if n.Pool.Complete {
+			l.Events.Engines, l.Addrs = nil, map[brain.EngineID]string{}
+			clear(at)
+		}
+		for j, m := range n.Pool.Members {
+			field := fmt.Sprintf("notices[%d].pool.members[%d]", i, j)
+			id, err := parseID(m.ID)
+			if err != nil {
+				return l, 0, fmt.Errorf("%s.id: %w", field, err)
+			}
+			state, ok := states[m.Phase]
+			if !ok {
+				return l, 0, fmt.Errorf("%s.phase: unknown value %q", field, m.Phase)
+			}
+			if _, err := netip.ParseAddrPort(m.HostPort); err != nil && state != brain.Gone {
+				return l, 0, fmt.Errorf("%s.host_port: %q is no address and port", field, m.HostPort)
+			}
+			e := brain.Engine{ID: id, Cell: m.Cell, Zone: m.Locality, Kind: m.Flavor, Size: m.Size, State: state,
+				Born: clock.Duration(m.UpSince)}
+			if k, known := at[id]; known {
+				l.Events.Engines[k] = e
+			} else {
+				at[id] = len(l.Events.Engines)
+				l.Events.Engines = append(l.Events.Engines, e)
+			}
+			l.Addrs[id] = m.HostPort
+		}
+	}
+	return l, known.Rev, nil
+}
+
+func parseID(s string) (brain.EngineID, error) {
+	hex, ok := strings.CutPrefix(s, "s-")
+	n, err := strconv.ParseUint(hex, 16, 32)
+	if !ok || err != nil || len(hex) != 8 {
+		return 0, fmt.Errorf("%q is not s- and 8 hex digits", s)
+	}
+	return brain.EngineID(n), nil
+}
+
+// frame is one parsed frame.
+type frame struct {
+	number uint64
+	kind   byte
+	list   List
+}
+
+// parseFrame reads what follows the length.
+func parseFrame(b []byte, names Names) (frame, error) {
+	if len(b) < frameHead {
+		return frame{}, fmt.Errorf("frame of %d bytes is too short", len(b))
+	}
+	f := frame{number: binary.BigEndian.Uint64(b), kind: b[8]}
+	rest := b[frameHead:]
+	switch {
+	case f.kind > kindChanges:
+		return f, fmt.Errorf("unknown kind %d", f.kind)
+	case f.kind == kindNothing && len(rest) > 0:
+		return f, errors.New("an empty frame with a payload")
+	case len(rest)%recordLength != 0:
+		return f, fmt.Errorf("payload of %d bytes is not whole records", len(rest))
+	}
+	f.list = List{Events: brain.EngineList{Mode: brain.ListChanges}, Addrs: map[brain.EngineID]string{}}
+	if f.kind == kindWhole {
+		f.list.Events.Mode = brain.ListFull
+	}
+	for ; len(rest) > 0; rest = rest[recordLength:] {
+		id := brain.EngineID(binary.BigEndian.Uint32(rest))
+		state, zone, kind := rest[10], int(rest[11]), int(rest[12])
+		started := binary.BigEndian.Uint64(rest[19:])
+		if state > 2 || zone >= len(names.Zones) || kind >= len(names.Kinds) || started > maxStart {
+			return f, fmt.Errorf("record of s-%08x: state %d, zone %d, kind %d or start %d is out of range",
+				uint64(id), state, zone, kind, started)
+		}
+		f.list.Events.Engines = append(f.list.Events.Engines, brain.Engine{ID: id,
+			State: brain.EngineState(state), Zone: names.Zones[zone], Kind: names.Kinds[kind],
+			Cell: int(binary.BigEndian.Uint16(rest[13:])), Size: float64(binary.BigEndian.Uint32(rest[15:])) / 1000,
+			Born: clock.Duration(float64(started))})
+		addr := netip.AddrPortFrom(netip.AddrFrom4([4]byte(rest[4:8])), binary.BigEndian.Uint16(rest[8:]))
+		f.list.Addrs[id] = addr.String()
+	}
+	return f, nil
+}
+
+// Dialer opens connections.
+type Dialer interface {
+	Dial(addr string, timeoutMS float64, h netio.Handler) netio.Conn
+}
+
+// Follower keeps a link to the board and tells of every event once, in order.
+type Follower struct {
+	loop   *router.Loop
+	dialer Dialer
+	addr   string
+	names  Names
+	last   uint64
+	tell   func(List)
+	log    *slog.Logger
+	link   *link
+
+	Counters Counters
+}
+
+// Counters count what the board sent.
+type Counters struct{ Links, Frames, Events, Bad int64 }
+
+// Follow opens the link; last is the number of the last event that is known.
+func Follow(loop *router.Loop, dialer Dialer, addr string, names Names, last uint64, tell func(List),
+	log *slog.Logger) *Follower {
+	f := &Follower{loop: loop, dialer: dialer, addr: addr, names: names, last: last, tell: tell, log: log}
+	f.open()
+	return f
+}
+
+func (f *Follower) open() {
+	f.Counters.Links++
+	f.link = &link{f: f}
+	f.link.conn = f.dialer.Dial(f.addr, dialTimeout, f.link)
+	f.link.listen()
+}
+
+// link is one connection to the board.
+type link struct {
+	f     *Follower
+	conn  netio.Conn
+	buf   []byte
+	timer *router.Timer
+	done  bool
+}
+
+// listen starts the wait for the next word anew.
+func (l *link) listen() {
+	l.timer.Stop()
+	l.timer = l.f.loop.After(silence, func() { l.end("the board is silent") })
+}
+
+func (l *link) Opened(c netio.Conn) {
+	l.conn = c
+	c.Write(binary.BigEndian.AppendUint64(nil, l.f.last))
+}
+
+func (l *link) Closed(err error) { l.end(fmt.Sprint("link closed: ", err)) }
+
+func (l *link) Data(b []byte, _ float64) {
+	if l.done {
+		return
+	}
+	l.listen()
+	l.buf = append(l.buf, b...)
+	for !l.done && len(l.buf) >= headerLength {
+		n := binary.BigEndian.Uint32(l.buf)
+		if n < frameHead || n > maxFrame {
+			l.bad(fmt.Errorf("frame of %d bytes", n))
+			return
+		}
+		if uint32(len(l.buf)-headerLength) < n {
+			return
+		}
+		body := l.buf[headerLength : headerLength+n]
+		l.buf = l.buf[headerLength+n:]
+		l.frame(body)
+	}
+}
+
+func (l *link) frame(body []byte) {
+	f := l.f
+	fr, err := parseFrame(body, f.names)
+	f.Counters.Frames++
+	switch {
+	case err != nil:
+		l.bad(err)
+	case fr.kind == kindNothing:
+	case fr.number <= f.last:
+		f.log.Debug("board event known already", "number", fr.number, "last", f.last)
+	case fr.kind == kindChanges && fr.number != f.last+1:
+		l.bad(fmt.Errorf("event %d follows event %d", fr.number, f.last))
+	default:
+		f.last = fr.number
+		f.Counters.Events++
+		f.log.Info("board event", "number", fr.number, "engines", len(fr.list.Events.Engines),
+			"whole", fr.kind == kindWhole)
+		f.tell(fr.list)
+	}
+}
+
+// bad drops a link whose frames can't be trusted. The list is kept, and the next link goes on from the last
+// good event.
+func (l *link) bad(err error) {
+	l.f.Counters.Bad++
+	l.end("bad frame: " + err.Error())
+}
+
+func (l *link) end(why string) {
+	if l.done {
+		return
+	}
+	l.done = true
+	l.timer.Stop()
+	l.f.log.Warn("board link ended", "why", why, "last", l.f.last)
+	l.conn.Close()
+	l.f.loop.After(redial, l.f.open)
+}
--- /dev/null
+++ b/internal/clock/clock.go
@@ -0,0 +1,32 @@
+// Package clock holds the one clock of the program: milliseconds since the Unix epoch as a float64. Only at
+// the decision module's door is a time converted to a time.Duration.
+package clock
+
+import "time"
+
+// Clock tells the time in milliseconds since the Unix epoch.
+type Clock interface{ Now() float64 }
+
+// System is the machine's clock. It reads the wall clock once and the monotonic clock from then on, so that
+// a step of the wall clock never moves a deadline.
+type System struct{ start time.Time }
+
+// NewSystem starts a system clock.
+func NewSystem() *System { return &System{start: time.Now()} }
+
+// Now implements Clock.
+func (s *System) Now() float64 {
+	return float64(s.start.UnixMicro())/1e3 + float64(time.Since(s.start))/float64(time.Millisecond)
+}
+
+// Manual is a clock that tests set.
+type Manual struct{ MS float64 }
+
+// Now implements Clock.
+func (m *Manual) Now() float64 { return m.MS }
+
+// Duration converts milliseconds for the decision module.
+func Duration(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// Millis converts a duration of the decision module.
+func Millis(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- /dev/null
+++ b/internal/mysql/fields.go
@@ -0,0 +1,32 @@
+package mysql
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+)
+
+// parseFields takes the comment with the fields off a query. found tells whether there is one.
+func parseFields(text string) (fields map[string]string, statement string, found bool, err error) {
+	rest := strings.TrimLeft(text, " \t\r\n")
+	if !strings.HasPrefix(rest, "/*") || strings.HasPrefix(rest, "/*!") {
+		return nil, text, false, nil
+	}
+	comment, statement, closed := strings.Cut(rest[2:], "*/")
+	if !closed {
+		return nil, "", true, errors.New("the comment with the fields has no end")
+	}
+	fields = map[string]string{}
+	for _, part := range strings.Split(comment, ",") {
+		name, value, ok := strings.Cut(strings.TrimSpace(part), "=")
+		if !ok {
+			return nil, "", true, fmt.Errorf("%.40q in the comment is no name=value", part)
+		}
+		name = strings.TrimSpace(name)
+		if _, twice := fields[name]; twice {
+			return nil, "", true, fmt.Errorf("field %.40s stands twice", name)
+		}
+		fields[name] = strings.TrimSpace(value)
+	}
+	return fields, strings.TrimSpace(statement), true, nil
+}
--- /dev/null
+++ b/internal/mysql/session.go
@@ -0,0 +1,324 @@
+// Package mysql is the platform's front: client sessions of the MySQL client protocol 4.1. It parses packets,
+// logins and the fields of requests, hands requests to the core and writes what the core answers.
+package mysql
+
+import (
+	"fmt"
+	"log/slog"
+	"strconv"
+	"strings"
+
+	"windflow/internal/netio"
+	"windflow/internal/router"
+)
+
+const (
+	user     = "app"
+	database = "warehouse"
+	// maxBuffered bounds what a session may pile up ahead of its answer.
+	maxBuffered = 2*maxPacket + 2*headerLength
+)
+
+// Front hands the requests of its sessions to the core.
+type Front struct {
+	core     *router.Core
+	loop     *router.Loop
+	log      *slog.Logger
+	status   func() [][2]string
+	max      int
+	sessions map[uint32]*session
+	next     uint32
+	Counters Counters
+}
+
+// Counters count what the front took in.
+type Counters struct{ Sessions, TurnedAway, Logins, BadLogins, BadPackets, BadFields, Pings, Kills int64 }
+
+// NewFront returns a front that keeps at most max sessions; status gives the rows of SHOW STATUS.
+func NewFront(core *router.Core, loop *router.Loop, max int, status func() [][2]string, log *slog.Logger) *Front {
+	return &Front{core: core, loop: loop, max: max, status: status, log: log, sessions: map[uint32]*session{}}
+}
+
+// Accept gives the handler of a new connection.
+func (f *Front) Accept() netio.Handler { return &session{front: f} }
+
+// Busy tells whether any session has bytes of which nothing has come yet.
+func (f *Front) Busy() bool {
+	for _, s := range f.sessions {
+		if s.busy || len(s.buf) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// session is one client connection.
+type session struct {
+	front    *Front
+	conn     netio.Conn
+	id       uint32
+	loggedIn bool
+	shut     bool
+	busy     bool // a request is open
+	handle   router.Handle
+	seq      byte // of the answer's next packet
+	buf      []byte
+	at       float64 // when the last bytes came
+}
+
+func (s *session) Opened(c netio.Conn) {
+	f := s.front
+	s.conn = c
+	f.next++
+	s.id = f.next
+	f.Counters.Sessions++
+	if len(f.sessions) >= f.max {
+		f.Counters.TurnedAway++
+		s.fatal(errTooManyConns, "too many connections")
+		return
+	}
+	f.sessions[s.id] = s
+	w := writer{}
+	w.greeting(s.id, "windflow-needs-no-pw") // 20 bytes; the password is empty, so the salt protects nothing
+	c.Write(w.b)
+}
+
+func (s *session) Closed(error) {
+	delete(s.front.sessions, s.id)
+	s.shut = true
+	if s.busy {
+		s.busy = false
+		s.front.core.Abandon(s.handle)
+	}
+}
+
+func (s *session) Data(b []byte, at float64) {
+	if s.shut {
+		return
+	}
+	s.buf = append(s.buf, b...)
+	s.at = at
+	s.advance()
+	if len(s.buf) > maxBuffered {
+		s.fatal(errPacketTooBig, "too much sent ahead of the answer")
+	}
+	if len(s.buf) == 0 {
+		s.buf = nil // idle sessions hold no buffer
+	}
+}
+
+// advance handles whole packets until a request is open.
+func (s *session) advance() {
+	for !s.shut && !s.busy && len(s.buf) >= headerLength {
+		n := int(s.buf[0]) | int(s.buf[1])<<8 | int(s.buf[2])<<16
+		if n > maxPacket {
+			s.front.Counters.BadPackets++
+			s.fatal(errPacketTooBig, fmt.Sprintf("packet of %d bytes; at most %d are taken", n, maxPacket))
+			return
+		}
+		if len(s.buf) < headerLength+n {
+			return
+		}
+		seq, body := s.buf[3], s.buf[headerLength:headerLength+n]
+		s.buf = s.buf[headerLength+n:]
+		s.seq = seq + 1
+		s.packet(seq, body)
+	}
+}
+
+func (s *session) packet(seq byte, body []byte) {
+	switch {
+	case !s.loggedIn:
+		s.login(seq, body)
+	case seq != 0:
+		s.front.Counters.BadPackets++
+		s.fatal(errPacketOrder, fmt.Sprintf("packet number %d opens a command", seq))
+	case len(body) == 0:
+		s.front.Counters.BadPackets++
+		s.fail(errUnknownCom, "an empty command")
+	default:
+		s.command(body[0], body[1:])
+	}
+}
+
+func (s *session) login(seq byte, body []byte) {
+	l, err := parseLogin(body)
+	f := s.front
+	f.Counters.BadLogins++
+	switch {
+	case seq != 1:
+		s.fatal(errPacketOrder, fmt.Sprintf("login packet with number %d", seq))
+	case err != nil:
+		s.fatal(errHandshake, "bad handshake: "+err.Error())
+	case l.user != user || l.password:
+		s.fatal(errAccessDenied, fmt.Sprintf("access denied for user %q; %s has an empty password", l.user, user))
+	case l.db != "" && l.db != database:
+		s.fatal(errUnknownDB, fmt.Sprintf("unknown database %q", l.db))
+	default:
+		f.Counters.BadLogins--
+		f.Counters.Logins++
+		s.loggedIn = true
+		s.ok()
+	}
+}
+
+func (s *session) command(com byte, body []byte) {
+	switch com {
+	case comQuit:
+		s.close()
+	case comPing:
+		s.front.Counters.Pings++
+		s.ok()
+	case comResetConn:
+		s.ok()
+	case comInitDB:
+		if string(body) != database {
+			s.fail(errUnknownDB, fmt.Sprintf("unknown database %q", body))
+			return
+		}
+		s.ok()
+	case comStatistics:
+		w := writer{seq: s.seq}
+		w.begin()
+		for _, kv := range s.front.status() {
+			w.b = fmt.Appendf(w.b, "%s: %s  ", kv[0], kv[1])
+		}
+		w.end()
+		s.conn.Write(w.b)
+	case comQuery:
+		s.query(string(body))
+	default:
+		s.fail(errUnknownCom, fmt.Sprintf("unknown command %d", com))
+	}
+}
+
+// query takes a request, or one of the few statements that clients send without fields.
+func (s *session) query(text string) {
+	fields, statement, found, err := parseFields(text)
+	if err == nil && !found {
+		s.plain(strings.TrimRight(strings.TrimSpace(text), "; \t\r\n"))
+		return
+	}
+	var r *router.Request
+	if err == nil {
+		r, err = router.NewRequest(func(name string) string { return fields[name] }, statement, s.at)
+	}
+	if err != nil {
+		s.front.Counters.BadFields++
+		s.fail(errParse, err.Error())
+		return
+	}
+	s.busy = true
+	if s.handle, err = s.front.core.Submit(r, s); err != nil {
+		s.busy = false
+		s.front.Counters.BadFields++
+		s.fail(errParse, err.Error())
+	}
+}
+
+// plain answers statements that carry no fields and reach no engine.
+func (s *session) plain(text string) {
+	words := strings.Fields(text)
+	switch {
+	case len(words) >= 2 && strings.EqualFold(words[0], "KILL"):
+		s.kill(words)
+	case len(words) == 2 && strings.EqualFold(words[0], "USE") && strings.Trim(words[1], "`") == database,
+		len(words) > 1 && strings.EqualFold(words[0], "SET"):
+		s.ok()
+	case len(words) >= 2 && strings.EqualFold(words[0], "SHOW") && strings.EqualFold(words[len(words)-1], "STATUS"):
+		r := &router.Result{Columns: []string{"Variable_name", "Value"}}
+		for _, kv := range s.front.status() {
+			r.Cells = append(r.Cells, router.Cell{Text: kv[0]}, router.Cell{Text: kv[1]})
+		}
+		s.Served(r)
+	default:
+		s.fail(errParse, "no fields: a query starts with /* method=CLASS,rid=ID,budget=MS */")
+	}
+}
+
+// kill ends the open query of another session: KILL QUERY id. Its client waits no longer, so the module is
+// told that no answer is owed; the session itself stays usable.
+func (s *session) kill(words []string) {
+	id, err := strconv.ParseUint(words[len(words)-1], 10, 32)
+	if err != nil || len(words) > 3 {
+		s.fail(errParse, "KILL takes QUERY or CONNECTION and a connection id")
+		return
+	}
+	s.front.Counters.Kills++
+	other := s.front.sessions[uint32(id)]
+	if other == nil {
+		s.fail(errNoSuchThread, fmt.Sprintf("unknown thread id: %d", id))
+		return
+	}
+	if other.busy {
+		s.front.core.Abandon(other.handle)
+		other.busy = false
+		other.fail(errInterrupted, "query execution was interrupted")
+		other.advance()
+	}
+	if !strings.EqualFold(words[1], "QUERY") {
+		other.close()
+	}
+	s.ok()
+}
+
+// Served implements router.Asker.
+func (s *session) Served(r *router.Result) {
+	w := writer{seq: s.seq}
+	w.result(r)
+	s.answer(w.b)
+}
+
+// Refused implements router.Asker.
+func (s *session) Refused(backoffMS float64) {
+	w := writer{seq: s.seq}
+	w.err(errTooManyConns, fmt.Sprintf("refused, nothing was done; try again later: backoff=%.0f", backoffMS))
+	s.answer(w.b)
+}
+
+// Failed implements router.Asker.
+func (s *session) Failed(why router.Reason) {
+	w := writer{seq: s.seq}
+	switch why {
+	case router.ReasonDeadline:
+		w.err(errTimeout, "the time for the query ran out")
+	default:
+		w.err(errUnknown, "the query failed; it may have run")
+	}
+	s.answer(w.b)
+}
+
+// answer writes the one answer to the command at hand and goes on with what the client sent meanwhile.
+func (s *session) answer(b []byte) {
+	wasBusy := s.busy
+	s.busy = false
+	s.conn.Write(b)
+	if wasBusy && len(s.buf) > 0 {
+		s.front.loop.Post(s.advance)
+	}
+}
+
+func (s *session) ok() {
+	w := writer{seq: s.seq}
+	w.ok()
+	s.conn.Write(w.b)
+}
+
+func (s *session) fail(code int, text string) {
+	w := writer{seq: s.seq}
+	w.err(code, text)
+	s.conn.Write(w.b)
+}
+
+// fatal answers with an error and closes: the framing is lost, or the client may not go on.
+func (s *session) fatal(code int, text string) {
+	s.front.log.Warn("session closed", "session", s.id, "code", code, "text", text)
+	s.fail(code, text)
+	s.close()
+}
+
+func (s *session) close() {
+	s.shut = true
+	s.buf = nil
+	s.conn.Close()
+}
--- /dev/null
+++ b/internal/netio/netio.go
@@ -0,0 +1,246 @@
+// Package netio joins nbio's poller to the router's loop: what comes in on a connection is handed over in
+// the loop's goroutine, and writes never block it.
+package netio
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"os"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/lesismal/nbio"
+	"github.com/lesismal/nbio/logging"
+
+	"windflow/internal/clock"
+	"windflow/internal/router"
+)
+
+// Conn is a connection as its owner sees it. Write queues all of b; neither call blocks.
+type Conn interface {
+	Write(b []byte)
+	Close()
+}
+
+// Handler hears of a connection, always in the loop's goroutine. Closed is the last call; it is made also
+// after the owner's own Close.
+type Handler interface {
+	Opened(Conn)
+	Data(b []byte, at float64) // at is when the bytes were read off the socket
+	Closed(err error)
+}
+
+// ErrNotConnected says that a connection never came up, so that nothing was written to it.
+var ErrNotConnected = errors.New("not connected")
+
+// The limits that keep a flood within the memory that the router has.
+const (
+	// maxInbound bounds the bytes read but not yet handled; past it the poller waits for the loop.
+	maxInbound = 4 << 20
+	// maxUnwritten bounds what a peer that does not read may leave queued on its connection.
+	maxUnwritten = 1 << 20
+	readBuffer   = 32 << 10
+)
+
+// Net opens connections and listens.
+type Net struct {
+	loop   *router.Loop
+	engine *nbio.Engine
+	accept func() Handler
+
+	mu      sync.Mutex
+	drained *sync.Cond
+	inbound int
+	stopped bool
+}
+
+// New starts a poller. Where listen is not empty, accept gives each new connection's handler.
+func New(loop *router.Loop, listen string, accept func() Handler, log *slog.Logger) (*Net, error) {
+	logging.SetLogger(quiet{log})
+	n := &Net{loop: loop, accept: accept}
+	n.drained = sync.NewCond(&n.mu)
+	cfg := nbio.Config{Name: "windflow", Network: "tcp", NPoller: 1, ReadBufferSize: readBuffer,
+		MaxWriteBufferSize: maxUnwritten}
+	if listen != "" {
+		cfg.Addrs = []string{listen}
+	}
+	n.engine = nbio.NewEngine(cfg)
+	n.engine.OnOpen(func(c *nbio.Conn) {
+		if c.Session() != nil {
+			return // a connection that Dial opened
+		}
+		s := &socket{net: n, c: c}
+		c.SetSession(s)
+		_ = c.SetNoDelay(true)
+		loop.Post(func() {
+			s.h = accept()
+			s.h.Opened(s)
+		})
+	})
+	n.engine.OnData(func(c *nbio.Conn, b []byte) {
+		s, ok := c.Session().(*socket)
+		if !ok {
+			return
+		}
+		at, data := loop.Now(), append([]byte(nil), b...)
+		n.admit(len(data))
+		loop.Post(func() {
+			n.release(len(data))
+			if s.h != nil && !s.closed {
+				s.h.Data(data, at)
+			}
+		})
+	})
+	n.engine.OnClose(func(c *nbio.Conn, err error) {
+		s, ok := c.Session().(*socket)
+		if !ok {
+			return
+		}
+		loop.Post(func() { s.shut(err) })
+	})
+	if err := n.engine.Start(); err != nil {
+		return nil, err
+	}
+	return n, nil
+}
+
+// Addr is where it listens.
+func (n *Net) Addr() string { return n.engine.Addrs[0] }
+
+// Stop closes the listener and all connections.
+func (n *Net) Stop() {
+	n.mu.Lock()
+	n.stopped = true
+	n.drained.Broadcast()
+	n.mu.Unlock()
+	n.engine.Stop()
+}
+
+// admit waits in the poller's goroutine until the loop has caught up.
+func (n *Net) admit(size int) {
+	n.mu.Lock()
+	for n.inbound > 0 && n.inbound+size > maxInbound && !n.stopped {
+		n.drained.Wait()
+	}
+	n.inbound += size
+	n.mu.Unlock()
+}
+
+func (n *Net) release(size int) {
+	n.mu.Lock()
+	n.inbound -= size
+	n.drained.Signal()
+	n.mu.Unlock()
+}
+
+// Dial opens a connection; h hears Opened, or Closed with ErrNotConnected when it did not come up within
+// timeout milliseconds. It is called in the loop's goroutine.
+//
+// The system dials here and nbio takes the connection over: nbio's own dialer reads the first four bytes of
+// an IPv4 address in its 16-byte form and so connects to 0.0.0.0, and it reports a refused connection as open.
+func (n *Net) Dial(addr string, timeout float64, h Handler) Conn {
+	s := &socket{net: n, h: h}
+	s.dialing = n.loop.After(timeout, func() {
+		s.dialing = nil
+		s.fail(os.ErrDeadlineExceeded)
+	})
+	go func() {
+		c, err := n.connect(addr, clock.Duration(timeout), s)
+		n.loop.Post(func() {
+			if err != nil {
+				s.fail(err)
+				return
+			}
+			s.up(c)
+		})
+	}()
+	return s
+}
+
+// connect dials and hands the connection to the poller; it runs in a goroutine of its own.
+func (n *Net) connect(addr string, timeout time.Duration, s *socket) (*nbio.Conn, error) {
+	d := net.Dialer{Timeout: timeout, KeepAlive: -1}
+	std, err := d.Dial("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	c, err := nbio.NBConn(std)
+	if err != nil {
+		return nil, errors.Join(err, std.Close())
+	}
+	c.SetSession(s)
+	if _, err := n.engine.AddConn(c); err != nil {
+		return nil, err
+	}
+	_ = c.SetNoDelay(true)
+	return c, nil
+}
+
+// socket is one connection; all but c's own calls belongs to the loop's goroutine.
+type socket struct {
+	net     *Net
+	c       *nbio.Conn // nil while it is being dialled
+	h       Handler
+	dialing *router.Timer
+	closed  bool
+}
+
+func (s *socket) up(c *nbio.Conn) {
+	s.dialing.Stop()
+	if s.closed {
+		_ = c.Close()
+		return
+	}
+	s.c = c
+	s.h.Opened(s)
+}
+
+// fail ends a dial; a connection that comes up later is closed by up.
+func (s *socket) fail(err error) {
+	if s.c == nil {
+		s.shut(errors.Join(ErrNotConnected, err))
+	}
+}
+
+func (s *socket) shut(err error) {
+	s.dialing.Stop()
+	if s.closed {
+		return
+	}
+	s.closed = true
+	if s.h != nil {
+		s.h.Closed(err)
+	}
+}
+
+func (s *socket) Write(b []byte) {
+	if s.c != nil && !s.closed {
+		_, _ = s.c.Write(b) // an error closes the connection, which Closed tells
+	}
+}
+
+// Close closes at once; what was written before is still sent by the system.
+func (s *socket) Close() {
+	if s.closed {
+		return
+	}
+	s.net.loop.Post(func() { s.shut(net.ErrClosed) })
+	if s.c != nil {
+		_ = s.c.Close()
+	}
+}
+
+// quiet passes nbio's warnings on to the log and drops its chatter.
+type quiet struct{ log *slog.Logger }
+
+func (q quiet) Debug(string, ...any)         {}
+func (q quiet) Info(string, ...any)          {}
+func (q quiet) Warn(format string, v ...any) { q.log.Warn("poller", "text", sprint(format, v)) }
+func (q quiet) Error(format string, v ...any) {
+	q.log.Error("poller", "text", sprint(format, v))
+}
+
+func sprint(format string, v []any) string { return strings.TrimSpace(fmt.Sprintf(format, v...)) }
--- /dev/null
+++ b/internal/router/core.go
@@ -0,0 +1,378 @@
+// Package router is the core: requests, attempts, timers, the list of engines and the counters. It knows no
+// wire. Fronts hand it requests and hear of their one final answer; engine clients carry its attempts out;
+// every decision is the module's (package brain). All of it runs in the goroutine of one Loop.
+package router
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"strconv"
+
+	"windflow/brain"
+	"windflow/internal/clock"
+)
+
+// Cell is one value of a row, as text.
+type Cell struct {
+	Text string
+	Null bool
+}
+
+// Result is what an engine made: Cells holds the rows one after the other.
+type Result struct {
+	Columns []string
+	Cells   []Cell
+}
+
+// MaxResult bounds the text of a result, in bytes.
+const MaxResult = 48_000
+
+// Reason tells a front why a request failed.
+type Reason int
+
+// Reasons for a failure.
+const (
+	ReasonEngine   Reason = iota // an engine failed, or may have begun what must not run twice
+	ReasonDeadline               // the client's time is up
+)
+
+// Asker is the front's end of a request. Exactly one of its methods is called, once, unless the front takes
+// the request back with Abandon.
+type Asker interface {
+	Served(*Result)
+	Refused(backoffMS float64)
+	Failed(Reason)
+}
+
+// Engine is an engine as the list names it.
+type Engine struct {
+	ID   brain.EngineID
+	Addr string
+}
+
+// Call is one attempt for an engine client to carry out.
+type Call struct {
+	Engine    Engine
+	ID        string
+	Class     string
+	Statement string
+	WaitMS    float64 // how long the router will wait
+	GrantMB   float64 // 0: the engine's own choice
+	Priority  int
+	Once      bool // it must not run twice: proof that it never ran is worth a new connection
+}
+
+// End is how an attempt ended; Result is set where Outcome is Served.
+type End struct {
+	Outcome brain.Outcome
+	Result  *Result
+	Detail  string // for the log
+}
+
+// Attempt is an attempt that is out.
+type Attempt interface {
+	SetPriority(int)
+	// Drop ends the interest in it: its end is not reported any more.
+	Drop()
+}
+
+// EngineClient carries attempts out. done is called at most once, in the loop, and never from within Start.
+type EngineClient interface {
+	Start(call Call, done func(End)) Attempt
+	// Forget is told that an engine is gone: connections kept for it are of no more use.
+	Forget(Engine)
+}
+
+// Counters count what the core took in, sent and answered.
+type Counters struct {
+	Taken, Served, Refused, Failed, Abandoned   int64
+	Malformed, Sends, Late, Overdue, Lists      int64
+	Ends                                        [8]int64 // by outcome
+	Handled, Actions, Steps, MaxOpen, AfterDone int64
+}
+
+const (
+	// answerMargin is kept before the client's deadline, in milliseconds, so that the final answer is on its
+	// wire while the client still waits.
+	answerMargin = 30.0
+	// guardAfter is when, after the module's end of a request, the core answers in its place. It guards
+	// against a request without an answer, whatever the cause; it never fires while the module does its work.
+	guardAfter = 15.0
+)
+
+type request struct {
+	*Request
+	key      brain.RequestID
+	asker    Asker // nil once the final answer is given or no longer owed
+	end      float64
+	attempts []*attempt
+	out      int
+	grant    float64
+	priority int
+	guard    *Timer
+}
+
+type attempt struct {
+	r       *request
+	hop     int
+	at      float64
+	call    Attempt
+	timeout *Timer
+	ended   bool
+}
+
+// Core is the router's state.
+type Core struct {
+	loop     *Loop
+	module   *brain.Controller
+	client   EngineClient
+	log      *slog.Logger
+	classes  map[string]brain.Class
+	max      int // attempts for a request
+	engines  map[brain.EngineID]Engine
+	requests map[brain.RequestID]*request
+	byID     map[string]*request // the open ones, by the client's id
+	events   []brain.Event
+	actions  []brain.Action
+	seq      uint64
+	Counters Counters
+}
+
+// New returns a core for the settings that the module was told.
+func New(loop *Loop, cfg brain.Config, client EngineClient, log *slog.Logger) (*Core, error) {
+	module, err := brain.New(cfg)
+	if err != nil {
+		return nil, err
+	}
+	c := &Core{loop: loop, module: module, client: client, log: log, classes: map[string]brain.Class{},
+		max: cfg.MaxAttempts, engines: map[brain.EngineID]Engine{}, requests: map[brain.RequestID]*request{},
+		byID: map[string]*request{}}
+	for _, k := range cfg.Classes {
+		c.classes[k.Name] = k
+	}
+	loop.Settle = c.settle
+	return c, nil
+}
+
+// Open is the number of requests that are owed an answer.
+func (c *Core) Open() int { return len(c.byID) }
+
+// Handle names a request for Abandon.
+type Handle struct{ r *request }
+
+// ErrInUse says that a request with that id is still open.
+var ErrInUse = errors.New("field rid: a request with that id is still open")
+
+// Submit takes a request in. An error says that it was malformed and is owed nothing.
+func (c *Core) Submit(q *Request, asker Asker) (Handle, error) {
+	class, ok := c.classes[q.Class]
+	if !ok {
+		c.Counters.Malformed++
+		return Handle{}, fmt.Errorf("field %s: unknown class %q", FieldClass, clip(q.Class))
+	}
+	if c.byID[q.ID] != nil {
+		c.Counters.Malformed++
+		return Handle{}, ErrInUse
+	}
+	c.seq++
+	c.Counters.Taken++
+	r := &request{Request: q, key: brain.RequestID(strconv.FormatUint(c.seq, 10)), asker: asker,
+		end: q.Sent + q.Budget - answerMargin, priority: 1}
+	c.requests[r.key], c.byID[r.ID] = r, r
+	c.Counters.MaxOpen = max(c.Counters.MaxOpen, int64(len(c.byID)))
+	left := r.end - c.loop.Now()
+	if left <= 0 {
+		c.Counters.Late++
+	}
+	r.guard = c.loop.At(max(r.end, c.loop.Now())+guardAfter, func() { c.overdue(r) })
+	c.events = append(c.events, brain.Arrival{Request: r.key, Class: class.Name, Tenant: q.Tenant, Group: q.Group,
+		Estimate: clock.Duration(q.EstimateMS), NeedMB: q.NeedMB, TimeLeft: clock.Duration(max(left, 0)),
+		Resent: q.Again})
+	return Handle{r}, nil
+}
+
+// Abandon says that the client left: no answer is owed any more.
+func (c *Core) Abandon(h Handle) {
+	r := h.r
+	if r == nil || r.asker == nil {
+		return
+	}
+	c.Counters.Abandoned++
+	c.finish(r)
+	c.events = append(c.events, brain.Abort{Request: r.key})
+}
+
+// finish closes a request; its attempts that are out go on being reported to the module.
+func (c *Core) finish(r *request) {
+	r.asker = nil
+	r.guard.Stop()
+	delete(c.byID, r.ID)
+	if r.out == 0 {
+		delete(c.requests, r.key)
+	}
+}
+
+// overdue answers where the module has not; see guardAfter.
+func (c *Core) overdue(r *request) {
+	if r.asker == nil {
+		return
+	}
+	c.Counters.Overdue++
+	c.log.Error("request overdue: the module gave no answer", "rid", r.ID, "class", r.Class, "out", r.out)
+	c.fail(r, ReasonDeadline)
+	c.events = append(c.events, brain.Abort{Request: r.key})
+}
+
+func (c *Core) fail(r *request, why Reason) {
+	asker := r.asker
+	c.finish(r)
+	c.Counters.Failed++
+	asker.Failed(why)
+}
+
+// Engines tells the module of the list, and keeps the addresses. gone names the engines that left.
+func (c *Core) Engines(list brain.EngineList, addrs map[brain.EngineID]string) {
+	c.Counters.Lists++
+	for _, e := range list.Engines {
+		old, known := c.engines[e.ID]
+		switch {
+		case e.State == brain.Gone:
+			if known {
+				c.client.Forget(old)
+			}
+		default:
+			if known && old.Addr != addrs[e.ID] {
+				c.client.Forget(old)
+			}
+			c.engines[e.ID] = Engine{ID: e.ID, Addr: addrs[e.ID]}
+		}
+	}
+	c.events = append(c.events, list)
+}
+
+// settle hands all that was gathered to the module and carries out what came back.
+func (c *Core) settle() {
+	c.Counters.Steps++
+	for len(c.events) > 0 {
+		now := clock.Duration(c.loop.Now())
+		events := c.events
+		c.events = nil
+		c.actions = c.actions[:0]
+		for _, ev := range events {
+			c.actions = c.module.Handle(now, ev, c.actions)
+		}
+		c.Counters.Handled += int64(len(events))
+		c.Counters.Actions += int64(len(c.actions))
+		for _, a := range c.actions {
+			c.carryOut(a)
+		}
+	}
+}
+
+func (c *Core) carryOut(a brain.Action) {
+	switch a := a.(type) {
+	case brain.Send:
+		c.send(a)
+	case brain.SetTerms:
+		r := c.requests[a.Request]
+		if r == nil {
+			return
+		}
+		r.grant = a.GrantMB
+		if a.Priority != r.priority {
+			r.priority = a.Priority
+			for _, at := range r.attempts {
+				if !at.ended {
+					at.call.SetPriority(a.Priority)
+				}
+			}
+		}
+	case brain.Cancel:
+		if r := c.requests[a.Request]; r != nil && a.Attempt < len(r.attempts) && !r.attempts[a.Attempt].ended {
+			c.ended(r.attempts[a.Attempt], End{Outcome: brain.Cancelled})
+		}
+	case brain.Refuse:
+		if r := c.requests[a.Request]; r != nil && r.asker != nil {
+			asker := r.asker
+			c.finish(r)
+			c.Counters.Refused++
+			asker.Refused(clock.Millis(a.RetryAfter))
+		}
+	case brain.Fail:
+		if r := c.requests[a.Request]; r != nil && r.asker != nil {
+			why := ReasonEngine
+			if c.loop.Now() >= r.end-1 {
+				why = ReasonDeadline
+			}
+			c.fail(r, why)
+		}
+	case brain.SetTimer:
+		c.loop.After(clock.Millis(a.After), func() {
+			c.events = append(c.events, brain.Timer{Tag: a.Tag})
+		})
+	case brain.Subscribe: // the notice board pushes its changes unasked
+	}
+}
+
+// send starts an attempt. What can no longer be sent ends as NotSent, which proves that it never ran.
+func (c *Core) send(s brain.Send) {
+	r := c.requests[s.Request]
+	if r == nil {
+		c.log.Error("send for an unknown request", "request", s.Request)
+		return
+	}
+	now := c.loop.Now()
+	a := &attempt{r: r, hop: len(r.attempts), at: now}
+	r.attempts = append(r.attempts, a)
+	r.out++
+	wait := r.end - now
+	if s.Timeout > 0 {
+		wait = min(wait, clock.Millis(s.Timeout))
+	}
+	engine, ok := c.engines[s.Engine]
+	if r.asker == nil || !ok || wait <= 0 || c.max > 0 && len(r.attempts) > c.max {
+		a.call = noAttempt{}
+		c.ended(a, End{Outcome: brain.NotSent})
+		return
+	}
+	c.Counters.Sends++
+	a.call = c.client.Start(Call{Engine: engine, ID: r.ID, Class: r.Class, Statement: r.Statement, WaitMS: wait,
+		GrantMB: r.grant, Priority: r.priority, Once: c.classes[r.Class].Semantics != brain.Idempotent},
+		func(e End) { c.ended(a, e) })
+	a.timeout = c.loop.At(now+wait, func() { c.ended(a, End{Outcome: brain.TimedOut, Detail: "no answer in time"}) })
+}
+
+// ended reports an attempt's end to the module; the first good one answers the request.
+func (c *Core) ended(a *attempt, e End) {
+	if a.ended {
+		c.Counters.AfterDone++
+		return
+	}
+	r := a.r
+	a.ended = true
+	a.timeout.Stop()
+	a.call.Drop()
+	r.out--
+	c.Counters.Ends[e.Outcome]++
+	if e.Outcome != brain.Served {
+		c.log.Debug("attempt ended", "rid", r.ID, "class", r.Class, "outcome", e.Outcome, "detail", e.Detail,
+			"took", c.loop.Now()-a.at)
+	}
+	if e.Outcome == brain.Served && r.asker != nil {
+		asker := r.asker
+		c.finish(r)
+		c.Counters.Served++
+		asker.Served(e.Result)
+	}
+	c.events = append(c.events, brain.AttemptEnd{Request: r.key, Attempt: a.hop, Outcome: e.Outcome,
+		Took: clock.Duration(c.loop.Now() - a.at), Last: r.asker == nil})
+	if r.asker == nil && r.out == 0 {
+		delete(c.requests, r.key)
+	}
+}
+
+type noAttempt struct{}
+
+func (noAttempt) SetPriority(int) {}
+func (noAttempt) Drop()           {}
--- /dev/null
+++ b/internal/settings/settings.go
@@ -0,0 +1,159 @@
+// Package settings holds the one form of the settings that an instance is told, by the simulator's first
+// message and by the configuration of a real query router alike, and their translation for the module.
+package settings
+
+import (
+	"fmt"
+	"time"
+
+	"windflow/brain"
+)
+
+// Word looks a wire word up in a table.
+func Word[T any](field, w string, table map[string]T) (T, error) {
+	v, ok := table[w]
+	if !ok {
+		return v, fmt.Errorf("%s: unknown value %q", field, w)
+	}
+	return v, nil
+}
+
+var (
+	semantics = map[string]brain.Semantics{"": brain.Idempotent, "idempotent": brain.Idempotent,
+		"deduplicated": brain.Deduplicated, "at_most_once": brain.AtMostOnce}
+	scopes = map[string]brain.Scope{"": brain.ScopeAll, "all": brain.ScopeAll, "zone": brain.ScopeZone,
+		"cell": brain.ScopeCell}
+	shortages = map[string]brain.Shortage{"": brain.ShortQueue, "queue": brain.ShortQueue,
+		"trim": brain.ShortTrim, "swap": brain.ShortSwap}
+)
+
+// Settings is the wire form of brain.Config; unknown fields are ignored.
+type Settings struct {
+	Me        int    `json:"me"`
+	Balancers int    `json:"balancers"`
+	Zone      string `json:"zone"`
+	Discovery string `json:"discovery"`
+	PeriodNS  int64  `json:"period-ns"`
+	Classes   []struct {
+		Name      string   `json:"name"`
+		Stretch   float64  `json:"aim-stretch"`
+		Credit    float64  `json:"credit"`
+		Deadline  int64    `json:"deadline-ns"`
+		Scope     string   `json:"dedup-scope"`
+		Goal      int64    `json:"goal-time-ns"`
+		LateValue float64  `json:"late-value"`
+		Semantics string   `json:"semantics"`
+		Window    int64    `json:"window-ns"`
+		FifoByKey bool     `json:"fifo-by-key"`
+		StaysIn   []string `json:"stays-in"`
+		AllowedOn []string `json:"allowed-on"`
+	} `json:"classes"`
+	Kinds   []string `json:"kinds"`
+	Zones   []string `json:"failure-domains"`
+	Parties []struct {
+		Name  string  `json:"name"`
+		Quota float64 `json:"quota-rps"`
+	} `json:"parties"`
+	OverShareWorth float64 `json:"over-share-worth"`
+	Limits         struct {
+		AttemptsCap   int   `json:"attempts-cap"`
+		Cancel        bool  `json:"cancel"`
+		SecondCopies  bool  `json:"second-copies"`
+		RetryAfter    bool  `json:"retry-after"`
+		MaxRetryAfter int64 `json:"max-retry-after-ns"`
+		// The last two are for real sockets only; the module is not told them.
+		ConnectTimeout int64 `json:"connect-timeout-ns"`
+		ConnIdle       int64 `json:"conn-idle-ns"`
+	} `json:"limits"`
+	Rules struct {
+		AskWithin       int64   `json:"ask-within-ns"`
+		ColdFrom        float64 `json:"cold-from"`
+		ColdNS          int64   `json:"cold-ns"`
+		OverloadFactor  float64 `json:"overload-factor"`
+		OverloadFor     int64   `json:"overload-for-ns"`
+		KeyRest         int64   `json:"key-rest-ns"`
+		BudgetFree      float64 `json:"budget-free"`
+		ExtraPerRequest float64 `json:"extra-per-request"`
+		LookBack        int64   `json:"look-back-ns"`
+	} `json:"rules"`
+	Specifics struct {
+		Load       []bool    `json:"class-load"`
+		Cores      []float64 `json:"cores-by-kind"`
+		Grants     bool      `json:"grants-count"`
+		MemoryMB   []float64 `json:"kind-memory-mb"`
+		MaxGrant   float64   `json:"max-grant-share"`
+		Overbooked string    `json:"overbooked"`
+		NoteEvery  int64     `json:"note-period-ns"`
+		Priorities bool      `json:"priorities"`
+		Width      []int     `json:"width-by-class"`
+		Yields     []bool    `json:"yields-to-loads"`
+	} `json:"specifics"`
+}
+
+// at returns the i-th value of a per-class or per-kind list; an absent list gives the zero value.
+func at[T any](list []T, i int) T {
+	if i < len(list) {
+		return list[i]
+	}
+	var zero T
+	return zero
+}
+
+// perItem checks that a list is absent or has one value for each of n items.
+func perItem[T any](field string, list []T, n int) error {
+	if len(list) != 0 && len(list) != n {
+		return fmt.Errorf("%s: has %d values for %d entries", field, len(list), n)
+	}
+	return nil
+}
+
+// Config translates the settings; nonce seeds the random numbers.
+func (s *Settings) Config(nonce uint64) (brain.Config, error) {
+	sp := &s.Specifics
+	n, k := len(s.Classes), len(s.Kinds)
+	for _, err := range []error{perItem("specifics.class-load", sp.Load, n),
+		perItem("specifics.width-by-class", sp.Width, n), perItem("specifics.yields-to-loads", sp.Yields, n),
+		perItem("specifics.cores-by-kind", sp.Cores, k), perItem("specifics.kind-memory-mb", sp.MemoryMB, k)} {
+		if err != nil {
+			return brain.Config{}, err
+		}
+	}
+	shortage, err := Word("specifics.overbooked", sp.Overbooked, shortages)
+	if err != nil {
+		return brain.Config{}, err
+	}
+	d := func(ns int64) time.Duration { return time.Duration(ns) }
+	cfg := brain.Config{
+		Seed: nonce, Instance: s.Me, Gateways: s.Balancers, Zone: s.Zone,
+		OverShareWorth: s.OverShareWorth, MaxAttempts: s.Limits.AttemptsCap, Cancel: s.Limits.Cancel,
+		SecondCopies: s.Limits.SecondCopies, RetryAfter: s.Limits.RetryAfter,
+		MaxRetryAfter: d(s.Limits.MaxRetryAfter), AskedDiscovery: s.Discovery == "subscribe",
+		Grants: sp.Grants, MaxGrantShare: sp.MaxGrant, Priorities: sp.Priorities, Shortage: shortage,
+		NoteEvery: d(sp.NoteEvery), Tick: d(s.PeriodNS), AskWithin: d(s.Rules.AskWithin), ColdFrom: s.Rules.ColdFrom,
+		ColdFor: d(s.Rules.ColdNS), OverloadFactor: s.Rules.OverloadFactor,
+		OverloadFor: d(s.Rules.OverloadFor), KeyRest: d(s.Rules.KeyRest),
+		Budget: brain.RetryBudget{Window: d(s.Rules.LookBack), Free: s.Rules.BudgetFree,
+			PerRequest: s.Rules.ExtraPerRequest},
+	}
+	for i, c := range s.Classes {
+		sem, err := Word(fmt.Sprintf("classes[%d].semantics", i), c.Semantics, semantics)
+		if err != nil {
+			return cfg, err
+		}
+		scope, err := Word(fmt.Sprintf("classes[%d].dedup-scope", i), c.Scope, scopes)
+		if err != nil {
+			return cfg, err
+		}
+		cfg.Classes = append(cfg.Classes, brain.Class{Name: c.Name, Aim: d(c.Goal), AimStretch: c.Stretch,
+			Deadline: d(c.Deadline), Worth: c.Credit, LateWorth: c.LateValue, Semantics: sem, Scope: scope,
+			Window: d(c.Window), OrderByKey: c.FifoByKey, Zones: c.StaysIn, Kinds: c.AllowedOn,
+			Threads: at(sp.Width, i), Load: at(sp.Load, i), WaitsOnLoad: at(sp.Yields, i)})
+	}
+	for _, t := range s.Parties {
+		cfg.Tenants = append(cfg.Tenants, brain.Tenant{Name: t.Name, Quota: t.Quota})
+	}
+	for i, name := range s.Kinds {
+		cfg.Kinds = append(cfg.Kinds, brain.Kind{Name: name, Cores: at(sp.Cores, i), MemoryMB: at(sp.MemoryMB, i)})
+	}
+	return cfg, nil
+}
