Grant memory by the need that answers tell

Answers here tell the need (bill, X-Mem-Used), so both wires now pass it on and the correction follows it; the old rule stays where notes would tell.

--- a/brain/api.go
+++ b/brain/api.go
@@ -214,6 +214,8 @@
 	Took    time.Duration
 	Last    bool // the request is finished
 	Load    *Load
+	Work    time.Duration // what a served query needed; 0 if unknown
+	NeedMB  float64
 }
 
 // StreamStart says that an attempt's answer began to flow to the client.
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -349,7 +349,10 @@
 			c.done = c.done*c.fade(c.doneAt, rateLife) + c.usual(r.c)
 			c.doneAt = c.now
 		}
-		if r.need > 0 && !a.spillSeen && a.grant > 0 {
+		if r.need > 0 && ev.NeedMB > 0 {
+			r.c.grantFix += meanGain * (ev.NeedMB/r.need - r.c.grantFix)
+		} else if r.need > 0 && !a.spillSeen && a.grant > 0 && c.cfg.NoteEvery > 0 {
+			// Only where notes would tell of spilling does their absence say that less would do.
 			r.c.grantFix = max(r.c.grantFix*0.995, 0.3)
 		}
 	case Errored:
--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -144,6 +144,8 @@
 	last    float64 // when the engine last answered
 	pages   [][]byte
 	parts   int
+	work    float64 // what the engine says that it took
+	need    float64
 	rank    int // the priority that the engine was told
 	posted  bool
 	over    bool
@@ -225,7 +227,7 @@
 			q.bad(fmt.Sprintf("X-Parts %.20q is no number of pages", r.header["x-parts"]))
 			return
 		}
-		q.parts = parts
+		q.parts, q.work, q.need = parts, number(r.header["x-cpu-ms"]), number(r.header["x-mem-used"])
 		q.page(r.body)
 	case (r.status == 503 || r.status == 504) && notBegun:
 		q.end(brain.Full, strconv.Itoa(r.status))
@@ -309,10 +311,20 @@
 		q.bad(err.Error())
 		return
 	}
+	result.WorkMS, result.NeedMB = q.work, q.need
 	q.over = true
 	q.done(router.End{Outcome: brain.Served, Result: result})
 }
 
+// number reads a figure of an engine; one that makes no sense counts as untold.
+func number(s string) float64 {
+	v, err := strconv.ParseFloat(s, 64)
+	if err != nil || !(v >= 0 && v < 1e9) {
+		return 0
+	}
+	return v
+}
+
 // parseRows cuts the pages into rows of three columns.
 func parseRows(pages [][]byte) (*router.Result, error) {
 	size := 0
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -23,6 +23,8 @@
 type Result struct {
 	Columns []string
 	Cells   []Cell
+	WorkMS  float64 // that the query needed; 0 if the engine did not tell
+	NeedMB  float64
 }
 
 // MaxResult bounds the text of a result, in bytes.
@@ -365,8 +367,12 @@
 		c.Counters.Served++
 		asker.Served(e.Result)
 	}
-	c.events = append(c.events, brain.AttemptEnd{Request: r.key, Attempt: a.hop, Outcome: e.Outcome,
-		Took: clock.Duration(c.loop.Now() - a.at), Last: r.asker == nil})
+	end := brain.AttemptEnd{Request: r.key, Attempt: a.hop, Outcome: e.Outcome,
+		Took: clock.Duration(c.loop.Now() - a.at), Last: r.asker == nil}
+	if e.Result != nil {
+		end.Work, end.NeedMB = clock.Duration(e.Result.WorkMS), e.Result.NeedMB
+	}
+	c.events = append(c.events, end)
 	if r.asker == nil && r.out == 0 {
 		delete(c.requests, r.key)
 	}
