Hold each gateway to an even share, and part a group's readers from its loads

At fault: share() in brain/brain.go, own traffic over the sum of the quotas. In overload it passes the even part at every gateway at once, so the thread and memory bounds of all gateways summed to two or three fleets just when they should bind. Bounds now go by an even part; own traffic still judges tenants.

Every gateway now ranks the engines for a table group alike: readers draw their two among the first half, loads among the other, without a word between gateways.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -5,6 +5,7 @@
 // first-come queues, one a class; ratio release picks among them; two random engines are compared.
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -15,7 +16,7 @@
 	ratioCap = 7.0
 	// threadsPerCore is the bound on running threads a core: cores and disks overlap up to about there, and
 	// preferred queries run beside it.
-	threadsPerCore = 1.6
+	threadsPerCore = 1.0
 	// calmAt is the reported share of cores, disks and memory in use below which an engine counts as calm.
 	calmAt = 0.8
 	// calmRoom is how far the bound gives way on a calm engine; reports lag, so it never opens wholly.
@@ -64,6 +65,9 @@
 	grantRoom = 1.25
 	// nearLeast is the least number of engines that a gateway uses: enough to lose some and compare two.
 	nearLeast = 8
+	// homePart and loadPart are the shares of the engines that read a table group and that load it: readers
+	// find it warm there, and loads, which make readers of the group stand still, run on others.
+	homePart, loadPart = 0.5, 0.5
 	// draws is how many engines are drawn for two with room, and looked at when held queries are sent.
 	draws = 8
 	// housekeeping is the time in which held requests are looked at twice.
@@ -207,7 +211,7 @@
 	if r.tenant == nil || r.tenant.quota <= 0 {
 		return false
 	}
-	rate := r.tenant.quota * c.share() * quotaSlack
+	rate := r.tenant.quota * c.traffic() * quotaSlack
 	t := r.tenant
 	if t.at == 0 {
 		t.at, t.tokens = c.now, 2*rate+5
@@ -221,9 +225,13 @@
 	return false
 }
 
-// share is this gateway's part of all traffic, by the quotas of all tenants if any, else an even part.
-func (c *Controller) share() float64 {
-	even := 1 / float64(max(c.cfg.Gateways, 1))
+// share is this gateway's part of the fleet: an even one, so that all parts sum to the whole.
+func (c *Controller) share() float64 { return 1 / float64(max(c.cfg.Gateways, 1)) }
+
+// traffic is this gateway's part of all traffic, by the quotas of all tenants. It passes 1 in overload, so
+// nothing that sums over gateways may go by it.
+func (c *Controller) traffic() float64 {
+	even := c.share()
 	if c.quotas <= 0 {
 		return even
 	}
@@ -625,9 +633,33 @@
 	return c.near
 }
 
+// homes are the engines nearby that a query's table group is read from or, for a load, loaded on. All
+// gateways rank the engines of a group alike, without a word to each other: readers take one end of the
+// ranks, loads the other.
+func (c *Controller) homes(r *request) []*engine {
+	near := c.nearby()
+	if r.group == 0 || len(near) < 3 {
+		return near
+	}
+	key := home{r.group, r.c.Load}
+	if c.homeOf[key] == nil {
+		ranks := slices.Clone(near)
+		slices.SortFunc(ranks, func(a, b *engine) int {
+			return cmp.Compare(mix(r.group, a.ID), mix(r.group, b.ID))
+		})
+		n := int(math.Ceil(homePart * float64(len(near))))
+		if r.c.Load {
+			n = int(math.Ceil(loadPart * float64(len(near))))
+			slices.Reverse(ranks)
+		}
+		c.homeOf[key] = ranks[:n]
+	}
+	return c.homeOf[key]
+}
+
 // pick draws two engines of those with room and takes the one with less work.
 func (c *Controller) pick(r *request) *engine {
-	near := c.nearby()
+	near := c.homes(r)
 	if c.keyBlocked(r) || len(near) == 0 || !c.fits(r) {
 		return nil
 	}
@@ -657,8 +689,8 @@
 	if len(c.live) == 0 || !c.fits(r) {
 		return nil
 	}
-	near := c.nearby()
-	if e := c.leastOf(r, near, len(near)); e != nil || len(near) == len(c.live) {
+	near := c.homes(r)
+	if e := c.leastOf(r, near, len(near)); e != nil && !c.clash(e, r) || len(near) == len(c.live) {
 		return e
 	}
 	return c.leastOf(r, c.live, draws)
--- a/brain/rules_test.go
+++ b/brain/rules_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -218,3 +219,56 @@
 		t.Errorf("past their share: %v", over)
 	}
 }
+
+// However much comes in, the bounds of all gateways sum to what the fleet can do. It guards against a share by
+// own traffic over the tenants' quotas: in a burst each gateway then took up to all of the fleet, and the jam
+// outlived the burst.
+func TestBoundDoesNotGrowWithTraffic(t *testing.T) {
+	cfg := twoClasses()
+	cfg.Gateways, cfg.Tenants = 2, []Tenant{{Name: "a", Quota: 5}}
+	w := newWorld(t, cfg)
+	w.list(ListFull, engines(3)...)
+	calm := w.c.bound()
+	for range 300 {
+		w.askFor(Arrival{Class: "quick", Tenant: "a", TimeLeft: time.Second})
+		w.tick(10 * ms)
+	}
+	if got := w.c.bound(); got != calm || got != threadsPerCore/2 {
+		t.Errorf("bound %v a core under load, %v before, want %v", got, calm, threadsPerCore/2)
+	}
+	if w.c.traffic() <= 0.5 {
+		t.Errorf("own traffic %v of the quotas: the load of this test is too small", w.c.traffic())
+	}
+}
+
+// Gateways that never spoke read a table group from the same engines and load it on others. It guards
+// against readers that stand still behind another gateway's load, and against cold reads.
+func TestReadersAndLoadsOfAGroupPart(t *testing.T) {
+	seen := map[bool][]EngineID{}
+	for gateway := range 3 {
+		cfg := twoClasses()
+		cfg.Seed, cfg.Instance, cfg.Gateways = uint64(gateway)+7, gateway, 3
+		cfg.Classes[0].WaitsOnLoad, cfg.Classes[1].Load = true, true
+		w := newWorld(t, cfg)
+		w.list(ListFull, engines(8)...)
+		for _, load := range []bool{false, true} {
+			cl := w.c.classes[0]
+			if load {
+				cl = w.c.classes[1]
+			}
+			var ids []EngineID
+			for _, e := range w.c.homes(&request{c: cl, group: 17}) {
+				ids = append(ids, e.ID)
+			}
+			if gateway > 0 && !slices.Equal(ids, seen[load]) {
+				t.Errorf("gateway %d has homes %v, another %v", gateway, ids, seen[load])
+			}
+			seen[load] = ids
+		}
+	}
+	for _, id := range seen[true] {
+		if slices.Contains(seen[false], id) {
+			t.Errorf("engine %v both reads and loads the group: %v and %v", id, seen[false], seen[true])
+		}
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -76,6 +76,20 @@
 	ordered, aside   bool
 }
 
+// home names the engines that read a table group, or those that load it.
+type home struct {
+	group int64
+	load  bool
+}
+
+// mix ranks an engine for a table group (splitmix64).
+func mix(group int64, id EngineID) uint64 {
+	x := uint64(group)*0x9e3779b97f4a7c15 + uint64(id)
+	x = (x ^ x>>30) * 0xbf58476d1ce4e5b9
+	x = (x ^ x>>27) * 0x94d049bb133111eb
+	return x ^ x>>31
+}
+
 type keyLine struct {
 	line []*request
 	rest time.Duration
@@ -100,6 +114,7 @@
 	live                   []*engine // the listed ones, and sums over them
 	near                   []*engine
 	nearSize               int
+	homeOf                 map[home][]*engine // by table group, until the list changes
 	cores, memory          float64
 	threads, granted       float64   // own, over all engines
 	failed                 []*engine // those that were ejected of late
@@ -240,7 +255,7 @@
 
 // relist keeps the listed engines and their sums, and forgets those that are gone with nothing out.
 func (c *Controller) relist() {
-	c.live, c.cores, c.memory, c.nearSize = c.live[:0], 0, 0, 0
+	c.live, c.cores, c.memory, c.nearSize, c.homeOf = c.live[:0], 0, 0, 0, map[home][]*engine{}
 	c.engines = slices.DeleteFunc(c.engines, func(e *engine) bool {
 		if e.State == Gone && len(e.running) == 0 {
 			delete(c.byID, e.ID)
