--- a/cmd/windflow/main.go
+++ b/cmd/windflow/main.go
@@ -4,6 +4,7 @@
 
 import (
 	"errors"
+	"flag"
 	"fmt"
 	"log/slog"
 	"os"
@@ -16,6 +17,7 @@
 	"windflow/internal/board"
 	"windflow/internal/clock"
 	"windflow/internal/fetch"
+	"windflow/internal/flightsql"
 	"windflow/internal/mysql"
 	"windflow/internal/netio"
 	"windflow/internal/router"
@@ -26,8 +28,13 @@
 	// memoryShare is the share of the memory limit that the runtime is told to keep within: stacks, the
 	// poller's buffers and the kernel's view of freed pages need the rest.
 	memoryShare = 0.7
-	// reserved descriptors are for the listener, the board, the log and the poller.
+	// sessionShare is the share of the descriptors that client sessions may hold; clients use up to a third.
+	sessionShare = 0.4
+	// reserved descriptors are for the listener, the board, the log, the poller, and connections that stand
+	// twice for a moment while they pass from the system's dialer to the poller.
 	reserved = 64
+	// flightEngines are reserved for connections to engines that speak Flight SQL, where that is on.
+	flightEngines = 64
 	// graceMS is how long after SIGTERM requests may still come, in milliseconds; PROTOCOL says 600.
 	graceMS = 1000.0
 	// quietMS is how long nothing may have been open before the program ends after SIGTERM.
@@ -35,13 +42,23 @@
 )
 
 func main() {
-	if err := run(); err != nil {
+	var opts options
+	flag.StringVar(&opts.flightSQL, "flightsql", "", "`file` that turns the Arrow Flight SQL front on, such as deploy/flightsql.toml")
+	flag.BoolVar(&opts.debug, "debug", false, "log each attempt that does not end well")
+	flag.Parse()
+	if err := run(opts); err != nil {
 		fmt.Fprintln(os.Stderr, "windflow:", err)
 		os.Exit(1)
 	}
 }
 
-func run() error {
+// options are what the command line says.
+type options struct {
+	flightSQL string
+	debug     bool
+}
+
+func run(opts options) error {
 	path := os.Getenv("PROXY_CONFIG")
 	if path == "" {
 		return errors.New("PROXY_CONFIG: the path of the configuration is not set")
@@ -50,52 +67,96 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
+	limit(cfg)
+	level := slog.LevelInfo
+	if opts.debug {
+		level = slog.LevelDebug
+	}
+	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("name", cfg.Name)
+	r, err := start(cfg, opts, log)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	go func() {
+		for s := range signals {
+			r.loop.Post(func() { r.signal(s) })
+		}
+	}()
+	r.loop.Run(r.stop)
+	r.printCounters("counters at exit")
+	r.close()
+	return nil
+}
+
+// start wires the parts together; the caller runs the loop.
+func start(cfg *settings.Node, opts options, log *slog.Logger) (*node, error) {
 	known, last, err := board.ParseKnown(cfg.Known)
 	if err != nil {
-		return fmt.Errorf("%s: field known: %w", path, err)
+		return nil, fmt.Errorf("field known: %w", err)
 	}
 	decisions, err := cfg.Parsed.Config(cfg.SeedValue)
 	if err != nil {
-		return fmt.Errorf("%s: field settings: %w", path, err)
+		return nil, fmt.Errorf("field settings: %w", err)
+	}
+	var flight flightsql.Config
+	if opts.flightSQL != "" {
+		if flight, err = flightsql.ReadConfig(opts.flightSQL); err != nil {
+			return nil, err
+		}
 	}
-	limit(cfg)
-	log := slog.New(slog.NewTextHandler(os.Stderr, nil)).With("name", cfg.Name)
-
-	loop := router.NewLoop(clock.NewSystem())
 	sockets := cfg.Limits.Sockets
 	if sockets <= reserved*2 {
 		sockets = 1024
 	}
-	r := &node{log: log, loop: loop}
-	n, err := netio.New(loop, cfg.Listen, func() netio.Handler { return r.front.Accept() }, log)
-	if err != nil {
-		return fmt.Errorf("listen on %s: %w", cfg.Listen, err)
+	loop := router.NewLoop(clock.NewSystem())
+	r := &node{log: log, loop: loop, stop: make(chan struct{})}
+	connectTimeout := float64(cfg.Parsed.Limits.ConnectTimeout) / 1e6
+	clients := &router.ByKind{Kinds: map[string]router.EngineClient{}}
+	if r.core, err = router.New(loop, decisions, clients, log); err != nil {
+		return nil, fmt.Errorf("field settings: %w", err)
+	}
+	sessions := int(sessionShare * float64(sockets))
+	engineConns := sockets - sessions - reserved
+	if opts.flightSQL != "" {
+		engineConns -= flight.MaxConnections + flightEngines
 	}
-	r.client = fetch.New(loop, n, fetch.Config{MaxConns: sockets/2 - reserved,
-		ConnectTimeoutMS: float64(cfg.Parsed.Limits.ConnectTimeout) / 1e6,
-		IdleMS:           float64(cfg.Parsed.Limits.ConnIdle) / 1e6}, log)
-	if r.core, err = router.New(loop, decisions, r.client, log); err != nil {
-		return fmt.Errorf("%s: field settings: %w", path, err)
+	if engineConns < 16 {
+		return nil, fmt.Errorf("field limits.sockets: %d leaves no connections for engines", sockets)
 	}
-	r.front = mysql.NewFront(r.core, loop, sockets/2, r.status, log)
+	r.front = mysql.NewFront(r.core, loop, sessions, r.status, log)
+	if r.net, err = netio.New(loop, cfg.Listen, r.front.Accept, log); err != nil {
+		return nil, fmt.Errorf("field listen: %w", err)
+	}
+	r.client = fetch.New(loop, r.net, fetch.Config{MaxConns: engineConns, ConnectTimeoutMS: connectTimeout,
+		IdleMS: float64(cfg.Parsed.Limits.ConnIdle) / 1e6}, log)
+	clients.Other = r.client
+	if opts.flightSQL != "" {
+		r.flightClient = flightsql.NewClient(loop, connectTimeout, log)
+		for _, kind := range flight.EngineKinds {
+			clients.Kinds[kind] = r.flightClient
+		}
+		if r.flight, err = flightsql.Listen(flight, r.core, loop, cfg.SeedValue, log); err != nil {
+			r.net.Stop()
+			return nil, fmt.Errorf("%s: field listen: %w", opts.flightSQL, err)
+		}
+		log.Info("flight sql front", "listen", r.flight.Addr(), "engine_kinds", flight.EngineKinds)
+	}
+	// The poller is up and may have posted connections; they are handled when the loop runs, after this.
 	r.core.Engines(known.Events, known.Addrs)
 	names := board.Names{Zones: cfg.Parsed.Zones, Kinds: cfg.Parsed.Kinds}
-	r.board = board.Follow(loop, n, cfg.Board, names, last,
+	r.board = board.Follow(loop, r.net, cfg.Board, names, last,
 		func(l board.List) { r.core.Engines(l.Events, l.Addrs) }, log)
-	log.Info("ready", "listen", cfg.Listen, "engines", len(known.Events.Engines), "last_event", last)
+	log.Info("ready", "listen", r.net.Addr(), "engines", len(known.Events.Engines), "last_event", last)
+	return r, nil
+}
 
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	go func() {
-		for s := range signals {
-			loop.Post(func() { r.signal(s) })
-		}
-	}()
-	r.stop = make(chan struct{})
-	loop.Run(r.stop)
-	r.printCounters("counters at exit")
-	n.Stop()
-	return nil
+func (r *node) close() {
+	if r.flight != nil {
+		r.flight.Stop()
+	}
+	r.net.Stop()
 }
 
 // limit keeps the runtime within what the deployment gives.
@@ -110,16 +171,19 @@
 
 // node is the running program; all of it belongs to the loop's goroutine.
 type node struct {
-	log      *slog.Logger
-	loop     *router.Loop
-	core     *router.Core
-	client   *fetch.Client
-	front    *mysql.Front
-	board    *board.Follower
-	stop     chan struct{}
-	stopping sync.Once
-	draining bool
-	busyAt   float64
+	log          *slog.Logger
+	loop         *router.Loop
+	net          *netio.Net
+	core         *router.Core
+	client       *fetch.Client
+	front        *mysql.Front
+	board        *board.Follower
+	flight       *flightsql.Front // nil unless turned on
+	flightClient *flightsql.Client
+	stop         chan struct{}
+	stopping     sync.Once
+	draining     bool
+	busyAt       float64
 }
 
 func (r *node) signal(s os.Signal) {
@@ -140,7 +204,7 @@
 // answering: what has come in whole on an accepted connection is taken, whenever it came.
 func (r *node) drained() {
 	now := r.loop.Now()
-	if r.core.Open() > 0 || r.front.Busy() {
+	if r.core.Open() > 0 || r.front.Busy() || r.flight != nil && r.flight.Active() > 0 {
 		r.busyAt = now
 	}
 	if now-r.busyAt >= quietMS {
--- /dev/null
+++ b/cmd/windflow/mixed_test.go
@@ -0,0 +1,511 @@
+package main
+
+import (
+	"bufio"
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow"
+	"github.com/apache/arrow-go/v18/arrow/array"
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	fsql "github.com/apache/arrow-go/v18/arrow/flight/flightsql"
+	"github.com/apache/arrow-go/v18/arrow/memory"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"windflow/internal/settings"
+)
+
+// ledger counts what the stand-in engines ran, by request.
+type ledger struct {
+	mu   sync.Mutex
+	runs map[string]int
+	by   map[string]int // by kind of engine
+}
+
+func (l *ledger) ran(id, kind string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.runs[id]++
+	l.by[kind]++
+}
+
+// fragile wraps a listener: a seeded part of its connections is reset after a random number of bytes.
+type fragile struct {
+	net.Listener
+	mu    sync.Mutex
+	rng   *rand.Rand
+	kills *atomic.Int64
+}
+
+func listenFragile(t *testing.T, seed uint64, kills *atomic.Int64) *fragile {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &fragile{Listener: l, rng: rand.New(rand.NewPCG(seed, 1)), kills: kills}
+}
+
+func (f *fragile) Accept() (net.Conn, error) {
+	c, err := f.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	left := int64(1 << 40)
+	if f.rng.IntN(3) > 0 {
+		left = int64(f.rng.IntN(6000))
+	}
+	return &fragileConn{Conn: c, left: left, kills: f.kills}, nil
+}
+
+type fragileConn struct {
+	net.Conn
+	mu    sync.Mutex
+	left  int64
+	kills *atomic.Int64
+}
+
+func (c *fragileConn) Write(b []byte) (int, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if int64(len(b)) <= c.left {
+		c.left -= int64(len(b))
+		return c.Conn.Write(b)
+	}
+	n, _ := c.Conn.Write(b[:c.left])
+	c.left = 0
+	c.kills.Add(1)
+	_ = c.Conn.(*net.TCPConn).SetLinger(0)
+	_ = c.Close()
+	return n, io.ErrClosedPipe
+}
+
+// fetchEngine is a stand-in that speaks fetch: 200 at once, three pages.
+func fetchEngine(l *ledger) http.Handler {
+	mux := http.NewServeMux()
+	page := func(id string, n int) string { return strings.Repeat(fmt.Sprintf("%s\t%d\tx\n", id, n), 20) }
+	mux.HandleFunc("POST /fetch", func(w http.ResponseWriter, r *http.Request) {
+		if _, err := io.ReadAll(r.Body); err != nil {
+			return
+		}
+		id := r.Header.Get("Call-Id")
+		if id[0] == 'f' { // a sixteenth is turned away unseen
+			w.Header().Set("Not-Begun", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		l.ran(id, "fetch")
+		w.Header().Set("X-Parts", "3")
+		fmt.Fprint(w, page(id, 0))
+	})
+	mux.HandleFunc("GET /fetch/{id}/{n}", func(w http.ResponseWriter, r *http.Request) {
+		id := r.PathValue("id")
+		n, _ := strconv.Atoi(r.PathValue("n"))
+		l.mu.Lock()
+		known := l.runs[id] > 0
+		l.mu.Unlock()
+		if !known {
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		if n == 0 {
+			w.Header().Set("X-Parts", "3")
+		} else {
+			w.Header().Set("X-Part-No", strconv.Itoa(n))
+		}
+		fmt.Fprint(w, page(id, n))
+	})
+	return mux
+}
+
+// flightEngine is a stand-in that speaks Flight SQL: three batches for a query, a count for an update.
+type flightEngine struct {
+	fsql.BaseServer
+	l *ledger
+}
+
+func incoming(ctx context.Context, name string) string {
+	md, _ := metadata.FromIncomingContext(ctx)
+	return strings.Join(md.Get(name), ",")
+}
+
+func (e *flightEngine) GetFlightInfoStatement(ctx context.Context, cmd fsql.StatementQuery,
+	desc *flight.FlightDescriptor) (*flight.FlightInfo, error) {
+	ticket, err := fsql.CreateStatementQueryTicket([]byte(incoming(ctx, "rid")))
+	return &flight.FlightInfo{FlightDescriptor: desc,
+		Endpoint: []*flight.FlightEndpoint{{Ticket: &flight.Ticket{Ticket: ticket}}}}, err
+}
+
+func (e *flightEngine) DoGetStatement(ctx context.Context, cmd fsql.StatementQueryTicket) (*arrow.Schema,
+	<-chan flight.StreamChunk, error) {
+	id := string(cmd.GetStatementHandle())
+	e.l.ran(id, "flight")
+	schema := arrow.NewSchema([]arrow.Field{{Name: "id", Type: arrow.BinaryTypes.String},
+		{Name: "n", Type: arrow.PrimitiveTypes.Int64}}, nil)
+	ch := make(chan flight.StreamChunk, 3)
+	for n := range int64(3) {
+		b := array.NewRecordBuilder(memory.DefaultAllocator, schema)
+		for range 20 {
+			b.Field(0).(*array.StringBuilder).Append(id)
+			b.Field(1).(*array.Int64Builder).Append(n)
+		}
+		ch <- flight.StreamChunk{Data: b.NewRecordBatch()}
+	}
+	close(ch)
+	return schema, ch, nil
+}
+
+func (e *flightEngine) DoPutCommandStatementUpdate(ctx context.Context, _ fsql.StatementUpdate) (int64, error) {
+	id := incoming(ctx, "rid")
+	if id[0] == 'f' {
+		_ = grpc.SetTrailer(ctx, metadata.Pairs("not-begun", "1"))
+		return 0, status.Error(codes.ResourceExhausted, "full")
+	}
+	e.l.ran(id, "flight")
+	return 7, nil
+}
+
+// noticeBoard is a stand-in that has nothing new to tell.
+func noticeBoard(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				if _, err := io.ReadFull(c, make([]byte, 8)); err != nil {
+					return
+				}
+				for {
+					if _, err := c.Write([]byte{0, 0, 0, 9, 0, 0, 0, 0, 0, 0, 0, 1, 0}); err != nil {
+						return
+					}
+					time.Sleep(500 * time.Millisecond)
+				}
+			}()
+		}
+	}()
+	return l.Addr().String()
+}
+
+const mixedSettings = `{"balancers":1,"classes":[
+ {"name":"lookup","goal-time-ns":1000000000,"deadline-ns":5000000000,"semantics":"idempotent"},
+ {"name":"load","goal-time-ns":3000000000,"deadline-ns":25000000000,"semantics":"at_most_once"}],
+ "kinds":["std","arrow"],"failure-domains":["a"],"period-ns":5000000,
+ "limits":{"attempts-cap":5,"second-copies":true,"retry-after":true,"max-retry-after-ns":2000000000,
+  "connect-timeout-ns":250000000,"conn-idle-ns":30000000000},
+ "rules":{"overload-factor":2,"overload-for-ns":1500000000,"cold-from":0.36,"cold-ns":12000000000},
+ "specifics":{"cores-by-kind":[8,8],"kind-memory-mb":[16384,16384],"width-by-class":[1,2],
+  "class-load":[false,true],"yields-to-loads":[true,false],"priorities":true,"grants-count":true}}`
+
+// startNode runs a router in this process against two engines of either kind.
+func startNode(t *testing.T, l *ledger, kills *atomic.Int64) *node {
+	t.Helper()
+	var members []string
+	for i := range 4 {
+		kind, lis := "std", listenFragile(t, uint64(i)+100, kills)
+		if i%2 == 0 {
+			s := &http.Server{Handler: fetchEngine(l)}
+			go func() { _ = s.Serve(lis) }()
+			t.Cleanup(func() { _ = s.Close() })
+		} else {
+			kind = "arrow"
+			s := grpc.NewServer()
+			flight.RegisterFlightServiceServer(s, fsql.NewFlightServer(&flightEngine{l: l}))
+			go func() { _ = s.Serve(lis) }()
+			t.Cleanup(s.Stop)
+		}
+		members = append(members, fmt.Sprintf(
+			`{"id":"s-0000000%d","host_port":"%s","locality":"a","flavor":"%s","phase":"active","size":1}`,
+			i+1, lis.Addr(), kind))
+	}
+	cfg, err := settings.ParseNode(fmt.Appendf(nil,
+		`{"name":"n0","listen":"127.0.0.1:0","seed":"1f","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+		"board":"%s","known":{"rev":1,"notices":[{"rev":1,"pool":{"revision":1,"complete":true,"members":[%s]}}]},
+		"settings":%s}`, noticeBoard(t), strings.Join(members, ","), mixedSettings))
+	if err != nil {
+		t.Fatal(err)
+	}
+	file := filepath.Join(t.TempDir(), "flightsql.toml")
+	if err := os.WriteFile(file, []byte("listen = \"127.0.0.1:0\"\nengine_kinds = [\"arrow\"]\n"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	n, err := start(cfg, options{flightSQL: file}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		n.loop.Run(n.stop)
+	}()
+	t.Cleanup(func() {
+		n.stopping.Do(func() { close(n.stop) })
+		<-ended
+		n.close()
+	})
+	return n
+}
+
+// mysqlClient is a bare client of the MySQL protocol.
+type mysqlClient struct {
+	c net.Conn
+	r *bufio.Reader
+}
+
+func dialMySQL(addr string) (*mysqlClient, error) {
+	c, err := net.Dial("tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	m := &mysqlClient{c: c, r: bufio.NewReader(c)}
+	login := binary.LittleEndian.AppendUint32(nil, 0x000fa20d)
+	login = append(login, 0, 0, 0, 1, 45)
+	login = append(login, make([]byte, 23)...)
+	login = append(login, "app\x00\x00warehouse\x00mysql_native_password\x00"...)
+	if err := m.write(1, login); err != nil {
+		return nil, err
+	}
+	for range 2 { // the greeting, and OK
+		if _, err := m.packet(); err != nil {
+			return nil, err
+		}
+	}
+	return m, nil
+}
+
+func (m *mysqlClient) write(seq byte, body []byte) error {
+	_, err := m.c.Write(append([]byte{byte(len(body)), byte(len(body) >> 8), byte(len(body) >> 16), seq}, body...))
+	return err
+}
+
+func (m *mysqlClient) packet() ([]byte, error) {
+	var head [4]byte
+	if _, err := io.ReadFull(m.r, head[:]); err != nil {
+		return nil, err
+	}
+	body := make([]byte, int(head[0])|int(head[1])<<8|int(head[2])<<16)
+	_, err := io.ReadFull(m.r, body)
+	return body, err
+}
+
+// ask sends a query and reads its whole answer: the number of rows, or the error's code.
+func (m *mysqlClient) ask(query string) (rows, code int, err error) {
+	if err := m.write(0, append([]byte{3}, query...)); err != nil {
+		return 0, 0, err
+	}
+	ends := 0
+	for first := true; ends < 2; first = false {
+		p, err := m.packet()
+		switch {
+		case err != nil:
+			return 0, 0, err
+		case p[0] == 0xff:
+			return 0, int(binary.LittleEndian.Uint16(p[1:])), nil
+		case p[0] == 0xfe && len(p) < 9:
+			ends++
+		case ends == 1 && !first:
+			rows++
+		}
+	}
+	return rows, 0, nil
+}
+
+// ping fails if anything but the answer to it comes: a second answer to the query before, above all.
+func (m *mysqlClient) ping() error {
+	if err := m.write(0, []byte{14}); err != nil {
+		return err
+	}
+	p, err := m.packet()
+	if err == nil && (p[0] != 0 || m.r.Buffered() > 0) {
+		err = fmt.Errorf("% x and %d bytes came instead of one OK", p[:min(len(p), 8)], m.r.Buffered())
+	}
+	return err
+}
+
+// TestMixedProtocolsUnderKilledStreams sends look-ups and loads over both protocols at once, to engines of
+// both, while a seeded part of the engines' connections dies at random bytes. Each request must get one
+// answer, whole or an error, and each load must have run at most once.
+func TestMixedProtocolsUnderKilledStreams(t *testing.T) {
+	const workers, each = 6, 25
+	book := &ledger{runs: map[string]int{}, by: map[string]int{}}
+	var kills atomic.Int64
+	n := startNode(t, book, &kills)
+
+	var mu sync.Mutex
+	answers, loads := map[string]int{}, map[string]bool{}
+	served := map[string]int{} // by front
+	note := func(front, id string, load, ok bool) {
+		mu.Lock()
+		defer mu.Unlock()
+		answers[id]++
+		if load {
+			loads[id] = true
+		}
+		if ok {
+			served[front]++
+		}
+	}
+	var wg sync.WaitGroup
+	for w := range workers {
+		wg.Add(2)
+		rng := rand.New(rand.NewPCG(uint64(w), 99))
+		plan := func() (ids []string, isLoad []bool) {
+			for range each {
+				ids = append(ids, fmt.Sprintf("%016x", rng.Uint64()))
+				isLoad = append(isLoad, rng.IntN(2) == 0)
+			}
+			return ids, isLoad
+		}
+		idsA, loadA := plan()
+		idsB, loadB := plan()
+		go func() {
+			defer wg.Done()
+			c, err := dialMySQL(n.net.Addr())
+			if err != nil {
+				t.Error("mysql:", err)
+				return
+			}
+			defer c.c.Close()
+			for i, id := range idsA {
+				class := map[bool]string{true: "load", false: "lookup"}[loadA[i]]
+				rows, code, err := c.ask(fmt.Sprintf("/* method=%s,rid=%s,budget=20000 */ SELECT 1 FROM s_%d.t",
+					class, id, i%3+1))
+				if err == nil {
+					err = c.ping()
+				}
+				if err != nil {
+					t.Errorf("mysql %s %s: %v", class, id, err)
+					return
+				}
+				if code == 0 && rows != 60 && rows != 1 {
+					t.Errorf("mysql %s %s: served with %d rows", class, id, rows)
+				}
+				note("mysql", id, loadA[i], code == 0)
+			}
+		}()
+		go func() {
+			defer wg.Done()
+			c, err := fsql.NewClient(n.flight.Addr(), nil, nil, grpc.WithTransportCredentials(insecure.NewCredentials()))
+			if err != nil {
+				t.Error("flight:", err)
+				return
+			}
+			defer c.Close()
+			for i, id := range idsB {
+				class := map[bool]string{true: "load", false: "lookup"}[loadB[i]]
+				statement := fmt.Sprintf("SELECT 1 FROM s_%d.t", i%3+1)
+				ok, err := askFlight(t, c, class, id, statement, loadB[i] && i%2 == 0)
+				if err != nil {
+					t.Errorf("flight %s %s: %v", class, id, err)
+				}
+				note("flight", id, loadB[i], ok)
+			}
+		}()
+	}
+	wg.Wait()
+
+	if len(answers) != 2*workers*each {
+		t.Errorf("%d requests were answered of %d", len(answers), 2*workers*each)
+	}
+	for id, times := range answers {
+		if times != 1 {
+			t.Errorf("request %s was answered %d times", id, times)
+		}
+	}
+	book.mu.Lock()
+	defer book.mu.Unlock()
+	for id := range loads {
+		if book.runs[id] > 1 {
+			t.Errorf("load %s ran %d times", id, book.runs[id])
+		}
+	}
+	// The test shows something only if both fronts, both kinds of engine and the kills had their part.
+	if served["mysql"] == 0 || served["flight"] == 0 || book.by["fetch"] == 0 || book.by["flight"] == 0 ||
+		kills.Load() == 0 {
+		t.Errorf("served %v, ran %v, %d connections killed: some part was not met", served, book.by, kills.Load())
+	}
+	counts := make(chan [2]int64)
+	n.loop.Post(func() {
+		c := n.core.Counters
+		counts <- [2]int64{c.Taken, c.Served + c.Refused + c.Failed + c.Abandoned}
+	})
+	if got := <-counts; got[0] != got[1] || got[0] != 2*workers*each {
+		t.Errorf("taken %d, answered %d, want %d of both", got[0], got[1], 2*workers*each)
+	}
+}
+
+// askFlight runs one request over Flight SQL. It reports whether it was served; an error is an answer that
+// may not be: a code outside the mapping, or rows that are not whole.
+func askFlight(t *testing.T, c *fsql.Client, class, id, statement string, put bool) (bool, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	ctx = metadata.AppendToOutgoingContext(ctx, "method", class, "rid", id, "acct", "a")
+	if put {
+		_, err := c.ExecuteUpdate(ctx, statement)
+		return err == nil, mapped(err)
+	}
+	info, err := c.Execute(ctx, statement)
+	if err != nil {
+		return false, err
+	}
+	rows := 0
+	r, err := c.DoGet(ctx, info.Endpoint[0].Ticket)
+	if err == nil {
+		for r.Next() {
+			rows += int(r.RecordBatch().NumRows())
+		}
+		err = r.Err()
+		r.Release()
+	}
+	if class == "load" {
+		// Whatever came of it, the ticket is spent.
+		if again, err := c.DoGet(ctx, info.Endpoint[0].Ticket); status.Code(err) != codes.NotFound {
+			if err == nil {
+				again.Release()
+			}
+			return false, fmt.Errorf("a load's ticket was redeemed twice: %v", err)
+		}
+	}
+	if err == nil && rows != 60 && rows != 1 {
+		return false, fmt.Errorf("served with %d rows", rows)
+	}
+	return err == nil, mapped(err)
+}
+
+// mapped passes the codes that an answer may have.
+func mapped(err error) error {
+	switch status.Code(err) {
+	case codes.OK, codes.ResourceExhausted, codes.Internal, codes.DeadlineExceeded:
+		return nil
+	}
+	return err
+}
--- a/cmd/windflow/status.go
+++ b/cmd/windflow/status.go
@@ -5,6 +5,7 @@
 	"reflect"
 	"strconv"
 	"strings"
+	"sync/atomic"
 
 	"windflow/brain"
 )
@@ -19,21 +20,33 @@
 		{"core.open", strconv.Itoa(r.core.Open())},
 		{"fetch.connections", strconv.Itoa(r.client.Conns())},
 	}
-	for _, part := range []struct {
+	parts := []struct {
 		name string
 		of   any
-	}{{"core", r.core.Counters}, {"mysql", r.front.Counters}, {"fetch", r.client.Counters},
-		{"board", r.board.Counters}} {
-		v := reflect.ValueOf(part.of)
+	}{{"core", &r.core.Counters}, {"mysql", &r.front.Counters}, {"fetch", &r.client.Counters},
+		{"board", &r.board.Counters}}
+	if r.flight != nil {
+		parts = append(parts, struct {
+			name string
+			of   any
+		}{"flightsql", &r.flight.Counters}, struct {
+			name string
+			of   any
+		}{"flightsql_engines", &r.flightClient.Counters})
+	}
+	for _, part := range parts {
+		v := reflect.ValueOf(part.of).Elem()
 		for i := range v.NumField() {
 			name := part.name + "." + snake(v.Type().Field(i).Name)
-			if v.Field(i).Kind() != reflect.Array {
-				rows = append(rows, [2]string{name, strconv.FormatInt(v.Field(i).Int(), 10)})
-				continue
-			}
-			for o := range v.Field(i).Len() {
-				rows = append(rows, [2]string{name + "." + outcomes[brain.Outcome(o)],
-					strconv.FormatInt(v.Field(i).Index(o).Int(), 10)})
+			switch field := v.Field(i).Addr().Interface().(type) {
+			case *int64:
+				rows = append(rows, [2]string{name, strconv.FormatInt(*field, 10)})
+			case *atomic.Int64:
+				rows = append(rows, [2]string{name, strconv.FormatInt(field.Load(), 10)})
+			case *[8]int64: // by outcome
+				for o, n := range field {
+					rows = append(rows, [2]string{name + "." + outcomes[brain.Outcome(o)], strconv.FormatInt(n, 10)})
+				}
 			}
 		}
 	}
--- /dev/null
+++ b/internal/flightsql/client.go
@@ -0,0 +1,360 @@
+package flightsql
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"strconv"
+	"sync/atomic"
+
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"github.com/apache/arrow-go/v18/arrow/flight/flightsql"
+	pb "github.com/apache/arrow-go/v18/arrow/flight/gen/flight"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/stats"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/anypb"
+
+	"windflow/brain"
+	"windflow/internal/clock"
+	"windflow/internal/router"
+)
+
+// Client reaches engines that speak Flight SQL. It implements router.EngineClient: an attempt is carried out
+// in a goroutine of its own, and its end is posted to the loop. gRPC's own retries are off, and an attempt
+// that gRPC would repeat by itself is cut off by watch.
+type Client struct {
+	loop           *router.Loop
+	log            *slog.Logger
+	connectTimeout float64
+	shared         map[brain.EngineID]*grpc.ClientConn // for what may run twice
+	Counters       ClientCounters
+}
+
+// ClientCounters count what was sent to engines.
+type ClientCounters struct{ Queries, Updates, Repeats, BadAnswers atomic.Int64 }
+
+// NewClient returns a client.
+func NewClient(loop *router.Loop, connectTimeoutMS float64, log *slog.Logger) *Client {
+	return &Client{loop: loop, log: log, connectTimeout: connectTimeoutMS,
+		shared: map[brain.EngineID]*grpc.ClientConn{}}
+}
+
+// Forget implements router.EngineClient.
+func (c *Client) Forget(e router.Engine) {
+	if conn := c.shared[e.ID]; conn != nil {
+		delete(c.shared, e.ID)
+		go func() { _ = conn.Close() }() // closing waits for gRPC's own goroutines; the loop may not
+	}
+}
+
+// attempt is one call that is out.
+type attempt struct {
+	cancel  context.CancelFunc
+	dropped bool // touched in the loop only
+}
+
+// SetPriority implements router.Attempt; Flight SQL has no word for it once a call is out.
+func (a *attempt) SetPriority(int) {}
+
+// Drop implements router.Attempt.
+func (a *attempt) Drop() {
+	a.dropped = true
+	a.cancel()
+}
+
+// Start implements router.EngineClient.
+func (c *Client) Start(call router.Call, done func(router.End)) router.Attempt {
+	ctx, cancel := context.WithTimeout(context.Background(), clock.Duration(call.WaitMS))
+	a := &attempt{cancel: cancel}
+	w := &watch{cancel: cancel}
+	ctx = context.WithValue(ctx, watchKey{}, w)
+	ctx = metadata.AppendToOutgoingContext(ctx, router.FieldID, call.ID, router.FieldClass, call.Class,
+		router.FieldBudget, strconv.FormatFloat(call.WaitMS, 'f', 0, 64),
+		metaGrant, strconv.FormatFloat(call.GrantMB, 'f', 0, 64), metaPriority, strconv.Itoa(call.Priority))
+	var shared *grpc.ClientConn
+	if !call.Once {
+		var err error
+		if shared, err = c.connection(call.Engine); err != nil {
+			c.loop.Post(func() { c.finish(a, done, router.End{Outcome: brain.ConnectFailed, Detail: err.Error()}) })
+			return a
+		}
+	}
+	go func() {
+		end := c.carryOut(ctx, call, shared, w)
+		c.loop.Post(func() { c.finish(a, done, end) })
+	}()
+	return a
+}
+
+func (c *Client) finish(a *attempt, done func(router.End), end router.End) {
+	a.cancel()
+	if !a.dropped {
+		a.dropped = true
+		done(end)
+	}
+}
+
+// connection is the one that an engine's queries share.
+func (c *Client) connection(e router.Engine) (*grpc.ClientConn, error) {
+	if conn := c.shared[e.ID]; conn != nil {
+		return conn, nil
+	}
+	conn, err := dial(func(ctx context.Context, _ string) (net.Conn, error) {
+		d := net.Dialer{Timeout: clock.Duration(c.connectTimeout)}
+		return d.DialContext(ctx, "tcp", e.Addr)
+	})
+	if err == nil {
+		c.shared[e.ID] = conn
+	}
+	return conn, err
+}
+
+func dial(dialer func(context.Context, string) (net.Conn, error)) (*grpc.ClientConn, error) {
+	return grpc.NewClient("passthrough:///engine", grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithContextDialer(dialer), grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(), grpc.WithNoProxy(),
+		grpc.WithStatsHandler(watcher{}), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)))
+}
+
+// carryOut runs one attempt to its end.
+func (c *Client) carryOut(ctx context.Context, call router.Call, conn *grpc.ClientConn, w *watch) router.End {
+	if call.Once {
+		// What must not run twice gets a connection of its own, dialled here: only so is a refused connection
+		// seen as such, and nothing can move the call to another connection.
+		d := net.Dialer{Timeout: clock.Duration(c.connectTimeout)}
+		raw, err := d.DialContext(ctx, "tcp", call.Engine.Addr)
+		if err != nil {
+			return router.End{Outcome: brain.ConnectFailed, Detail: err.Error()}
+		}
+		own, err := dial(single(raw))
+		if err != nil {
+			return router.End{Outcome: brain.ConnectFailed, Detail: errors.Join(err, raw.Close()).Error()}
+		}
+		defer own.Close()
+		conn = own
+	}
+	client := flightsql.Client{Client: flight.NewClientFromConn(conn, nil)}
+	var trailer metadata.MD
+	var result *router.Result
+	var err error
+	if call.Once || call.Update {
+		c.Counters.Updates.Add(1)
+		result, trailer, err = update(ctx, client, call.Statement)
+	} else {
+		c.Counters.Queries.Add(1)
+		result, trailer, err = query(ctx, client, call.Statement)
+	}
+	if w.repeated.Load() {
+		c.Counters.Repeats.Add(1)
+	}
+	if err == nil {
+		result.WorkMS, result.NeedMB = number(trailer, metaWork), number(trailer, metaNeed)
+		return router.End{Outcome: brain.Served, Result: result}
+	}
+	end := router.End{Outcome: outcome(err, trailer, w), Detail: err.Error()}
+	if end.Outcome == brain.Errored {
+		c.Counters.BadAnswers.Add(1)
+	}
+	return end
+}
+
+// outcome reads how a call that brought no result ended. Only the engine's own word, or a call of which
+// nothing was written, proves that it never ran.
+func outcome(err error, trailer metadata.MD, w *watch) brain.Outcome {
+	code := status.Code(err)
+	switch {
+	case errors.Is(err, errBad):
+		return brain.Errored
+	case !w.written.Load():
+		return brain.ConnectFailed
+	case len(trailer.Get(metaNotBegun)) == 1 && trailer.Get(metaNotBegun)[0] == "1" &&
+		(code == codes.Unavailable || code == codes.ResourceExhausted || code == codes.DeadlineExceeded):
+		return brain.Full
+	case code == codes.DeadlineExceeded:
+		return brain.TimedOut
+	case code == codes.Unavailable || code == codes.Canceled:
+		return brain.Reset
+	}
+	return brain.Errored
+}
+
+// errBad marks an answer that no engine should give.
+var errBad = errors.New("bad answer")
+
+// query asks for rows: GetFlightInfo, then DoGet of each of its tickets.
+func query(ctx context.Context, client flightsql.Client, statement string) (*router.Result, metadata.MD, error) {
+	var trailer metadata.MD
+	info, err := client.Execute(ctx, statement, grpc.Trailer(&trailer))
+	if err != nil {
+		return nil, trailer, err
+	}
+	if len(info.Endpoint) == 0 {
+		return nil, nil, fmt.Errorf("%w: no endpoint", errBad)
+	}
+	result, size := &router.Result{}, 0
+	for _, at := range info.Endpoint {
+		stream, err := client.Client.DoGet(ctx, at.Ticket)
+		if err != nil {
+			return nil, nil, err
+		}
+		reader, err := flight.NewRecordReader(stream)
+		if err != nil {
+			return nil, stream.Trailer(), streamError(err)
+		}
+		err = read(reader, result, &size)
+		reader.Release()
+		trailer = stream.Trailer()
+		if err != nil {
+			return nil, trailer, err
+		}
+	}
+	return result, trailer, nil
+}
+
+// read takes the rows of one stream as text.
+func read(reader *flight.Reader, into *router.Result, size *int) error {
+	var names []string
+	for _, f := range reader.Schema().Fields() {
+		names = append(names, f.Name)
+	}
+	if len(names) == 0 || into.Columns != nil && len(into.Columns) != len(names) {
+		return fmt.Errorf("%w: %d columns", errBad, len(names))
+	}
+	into.Columns = names
+	for reader.Next() {
+		batch := reader.RecordBatch()
+		for row := range int(batch.NumRows()) {
+			for _, column := range batch.Columns() {
+				cell := router.Cell{Null: column.IsNull(row)}
+				if !cell.Null {
+					cell.Text = column.ValueStr(row)
+				}
+				*size += len(cell.Text) + 1
+				into.Cells = append(into.Cells, cell)
+			}
+			if *size > router.MaxResult {
+				return fmt.Errorf("%w: a result of over %d bytes", errBad, router.MaxResult)
+			}
+		}
+	}
+	if err := reader.Err(); err != nil && !errors.Is(err, io.EOF) {
+		return streamError(err)
+	}
+	return nil
+}
+
+// streamError keeps a gRPC status as it is; anything else is a stream that no engine should write.
+func streamError(err error) error {
+	if _, ok := status.FromError(err); ok {
+		return err
+	}
+	return fmt.Errorf("%w: %w", errBad, err)
+}
+
+// update runs a statement by DoPut. It is written once: one message on one stream.
+func update(ctx context.Context, client flightsql.Client, statement string) (*router.Result, metadata.MD, error) {
+	var command anypb.Any
+	if err := command.MarshalFrom(&pb.CommandStatementUpdate{Query: statement}); err != nil {
+		return nil, nil, err
+	}
+	bytes, err := proto.Marshal(&command)
+	if err != nil {
+		return nil, nil, err
+	}
+	stream, err := client.Client.DoPut(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	// A send that fails says only that the stream has ended; Recv tells why.
+	if err := stream.Send(&flight.FlightData{FlightDescriptor: &flight.FlightDescriptor{
+		Type: flight.DescriptorCMD, Cmd: bytes}}); err != nil && !errors.Is(err, io.EOF) {
+		return nil, stream.Trailer(), err
+	}
+	if err := stream.CloseSend(); err != nil {
+		return nil, stream.Trailer(), err
+	}
+	put, err := stream.Recv()
+	if errors.Is(err, io.EOF) {
+		err = fmt.Errorf("%w: an update without an answer", errBad)
+	}
+	if err != nil {
+		return nil, stream.Trailer(), err
+	}
+	var told pb.DoPutUpdateResult
+	if err := proto.Unmarshal(put.GetAppMetadata(), &told); err != nil {
+		return nil, stream.Trailer(), fmt.Errorf("%w: %w", errBad, err)
+	}
+	// The result stands once the engine has ended the stream well.
+	if _, err := stream.Recv(); !errors.Is(err, io.EOF) {
+		if err == nil {
+			err = fmt.Errorf("%w: a second answer to an update", errBad)
+		}
+		return nil, stream.Trailer(), err
+	}
+	n := told.GetRecordCount()
+	return &router.Result{Columns: []string{"rows_changed"}, Changed: n,
+		Cells: []router.Cell{{Text: strconv.FormatInt(n, 10)}}}, stream.Trailer(), nil
+}
+
+func number(md metadata.MD, name string) float64 {
+	values := md.Get(name)
+	if len(values) != 1 {
+		return 0
+	}
+	v, err := strconv.ParseFloat(values[0], 64)
+	if err != nil || !(v >= 0 && v < 1e9) {
+		return 0
+	}
+	return v
+}
+
+// single gives out a connection once; gRPC can then not move to another one.
+func single(conn net.Conn) func(context.Context, string) (net.Conn, error) {
+	var used atomic.Bool
+	return func(context.Context, string) (net.Conn, error) {
+		if used.Swap(true) {
+			return nil, errors.New("the connection of this call is spent")
+		}
+		return conn, nil
+	}
+}
+
+// watch follows the calls of one attempt.
+type watch struct {
+	cancel   context.CancelFunc
+	written  atomic.Bool
+	repeated atomic.Bool
+}
+
+type watchKey struct{}
+
+// watcher is the stats handler that feeds watches. With retries off, gRPC still repeats a call transparently
+// that the engine's HTTP/2 layer claims not to have handled. That is no proof in our rules, so such a repeat
+// is cut off before anything of it is written.
+type watcher struct{}
+
+func (watcher) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+func (watcher) HandleRPC(ctx context.Context, s stats.RPCStats) {
+	w, ok := ctx.Value(watchKey{}).(*watch)
+	if !ok {
+		return
+	}
+	switch s := s.(type) {
+	case *stats.Begin:
+		if s.IsTransparentRetryAttempt && w.written.Load() {
+			w.repeated.Store(true)
+			w.cancel()
+		}
+	case *stats.OutHeader:
+		w.written.Store(true)
+	}
+}
+func (watcher) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+func (watcher) HandleConn(context.Context, stats.ConnStats)                       {}
--- /dev/null
+++ b/internal/flightsql/front.go
@@ -0,0 +1,375 @@
+package flightsql
+
+import (
+	"context"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow"
+	"github.com/apache/arrow-go/v18/arrow/array"
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"github.com/apache/arrow-go/v18/arrow/flight/flightsql"
+	"github.com/apache/arrow-go/v18/arrow/memory"
+	"golang.org/x/net/netutil"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/types/known/durationpb"
+
+	"windflow/brain"
+	"windflow/internal/router"
+)
+
+const (
+	// ticketLife is how long a ticket may be redeemed, in milliseconds.
+	ticketLife = 60_000.0
+	// maxTickets and maxTicketBytes bound what clients that never redeem may pile up.
+	maxTickets     = 4096
+	maxTicketBytes = 8 << 20
+)
+
+// Front takes requests over Flight SQL. Its methods run in gRPC's goroutines; what touches the core is posted
+// to the loop.
+type Front struct {
+	flightsql.BaseServer
+	core   *router.Core
+	loop   *router.Loop
+	log    *slog.Logger
+	server *grpc.Server
+	addr   string
+	active atomic.Int64
+
+	mu      sync.Mutex
+	rng     *rand.ChaCha8
+	tickets map[string]*ticket
+	bytes   int
+	order   []*ticket // by age; may hold ones that are spent
+
+	Counters Counters
+}
+
+// Counters count what the front took in.
+type Counters struct{ Infos, Gets, Puts, Malformed, BadTickets, Served, Refused, Failed, Late, Left atomic.Int64 }
+
+// ticket is a query that a client described and may now fetch.
+type ticket struct {
+	handle  string
+	request router.Request
+	end     float64 // the latest end that the client's fields name; 0 for none
+	expires float64
+	once    bool
+	spent   bool
+}
+
+// Listen starts a front; seed makes its tickets hard to guess.
+func Listen(cfg Config, core *router.Core, loop *router.Loop, seed uint64, log *slog.Logger) (*Front, error) {
+	lis, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
+		return nil, err
+	}
+	var key [32]byte
+	for i := range key {
+		key[i] = byte(seed >> (8 * (i % 8)))
+	}
+	f := &Front{core: core, loop: loop, log: log, addr: lis.Addr().String(), tickets: map[string]*ticket{},
+		rng: rand.NewChaCha8(key)}
+	f.Alloc = memory.DefaultAllocator
+	f.server = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage), grpc.MaxConcurrentStreams(256),
+		grpc.ConnectionTimeout(5*time.Second), grpc.MaxHeaderListSize(16<<10))
+	flight.RegisterFlightServiceServer(f.server, flightsql.NewFlightServer(f))
+	go func() {
+		if err := f.server.Serve(netutil.LimitListener(lis, cfg.MaxConnections)); err != nil {
+			log.Error("flight sql front ended", "err", err)
+		}
+	}()
+	return f, nil
+}
+
+// Addr is where it listens.
+func (f *Front) Addr() string { return f.addr }
+
+// Active is the number of calls at hand.
+func (f *Front) Active() int { return int(f.active.Load()) }
+
+// Stop closes the listener and all connections.
+func (f *Front) Stop() { f.server.Stop() }
+
+// newRequest reads the fields out of the call's metadata. The call's deadline and the budget both bind.
+func (f *Front) newRequest(ctx context.Context, statement string) (*router.Request, error) {
+	now := f.loop.Now()
+	md, _ := metadata.FromIncomingContext(ctx)
+	var twice error
+	get := func(name string) string {
+		values := md.Get(name)
+		if len(values) > 1 {
+			twice = fmt.Errorf("field %s stands twice", name)
+		}
+		if len(values) == 0 {
+			return ""
+		}
+		return values[0]
+	}
+	field := func(name string) string {
+		if v := get(name); v != "" || name != router.FieldBudget {
+			return v
+		}
+		if left, ok := untilDeadline(ctx); ok {
+			return strconv.FormatFloat(left, 'f', 3, 64)
+		}
+		return ""
+	}
+	r, err := router.NewRequest(field, statement, now)
+	if err == nil {
+		err = twice
+	}
+	if err == nil {
+		if _, ok := f.core.Class(r.Class); !ok {
+			err = fmt.Errorf("field %s: unknown class %q", router.FieldClass, r.Class)
+		}
+	}
+	if err != nil {
+		f.Counters.Malformed.Add(1)
+		return nil, status.Error(codes.InvalidArgument, err.Error())
+	}
+	return r, nil
+}
+
+// untilDeadline is the time to the call's deadline in milliseconds, at least a little: a call that comes at
+// its deadline is late, not malformed.
+func untilDeadline(ctx context.Context) (float64, bool) {
+	at, ok := ctx.Deadline()
+	return max(float64(time.Until(at))/float64(time.Millisecond), 0.001), ok
+}
+
+// GetFlightInfoStatement checks a query and gives a ticket for it. Nothing runs yet.
+func (f *Front) GetFlightInfoStatement(ctx context.Context, cmd flightsql.StatementQuery,
+	desc *flight.FlightDescriptor) (*flight.FlightInfo, error) {
+	f.Counters.Infos.Add(1)
+	r, err := f.newRequest(ctx, cmd.GetQuery())
+	if err != nil {
+		return nil, err
+	}
+	class, _ := f.core.Class(r.Class)
+	t := &ticket{request: *r, expires: f.loop.Now() + ticketLife, once: class.Semantics != brain.Idempotent}
+	if md, _ := metadata.FromIncomingContext(ctx); len(md.Get(router.FieldBudget)) > 0 {
+		t.end = r.Sent + r.Budget // a deadline of the call itself binds that call only
+	}
+	if !f.keep(t) {
+		return nil, f.refusal(ctx, 1000)
+	}
+	bytes, err := flightsql.CreateStatementQueryTicket([]byte(t.handle))
+	if err != nil {
+		return nil, status.Error(codes.Internal, err.Error())
+	}
+	return &flight.FlightInfo{FlightDescriptor: desc, TotalRecords: -1, TotalBytes: -1,
+		Endpoint: []*flight.FlightEndpoint{{Ticket: &flight.Ticket{Ticket: bytes},
+			// Tickets live in this router, so the client is sent back to it.
+			Location: []*flight.Location{{Uri: "grpc+tcp://" + f.addr}}}}}, nil
+}
+
+// keep stores a ticket under a new handle; false says that there is no room.
+func (f *Front) keep(t *ticket) bool {
+	now := f.loop.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for len(f.order) > 0 && (f.order[0].spent || f.order[0].expires <= now) {
+		f.drop(f.order[0])
+		f.order = f.order[1:]
+	}
+	if len(f.tickets) >= maxTickets || f.bytes+len(t.request.Statement) > maxTicketBytes {
+		return false
+	}
+	var raw [16]byte
+	_, _ = f.rng.Read(raw[:])
+	t.handle = hex.EncodeToString(raw[:])
+	f.tickets[t.handle] = t
+	f.bytes += len(t.request.Statement)
+	f.order = append(f.order, t)
+	return true
+}
+
+// drop takes a ticket out; f.mu is held.
+func (f *Front) drop(t *ticket) {
+	t.spent = true
+	if f.tickets[t.handle] == t {
+		delete(f.tickets, t.handle)
+		f.bytes -= len(t.request.Statement)
+	}
+}
+
+// redeem gives the query of a ticket. The ticket of what must not run twice is spent by it, so that a client
+// that fetches again, or two that share a ticket, cannot run it again.
+func (f *Front) redeem(handle string) (*ticket, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.tickets[handle]
+	if t == nil || t.expires <= f.loop.Now() {
+		return nil, false
+	}
+	if t.once {
+		f.drop(t)
+	}
+	return t, true
+}
+
+// DoGetStatement runs the query of a ticket and streams its rows.
+func (f *Front) DoGetStatement(ctx context.Context, cmd flightsql.StatementQueryTicket) (*arrow.Schema,
+	<-chan flight.StreamChunk, error) {
+	f.Counters.Gets.Add(1)
+	t, ok := f.redeem(string(cmd.GetStatementHandle()))
+	if !ok {
+		f.Counters.BadTickets.Add(1)
+		return nil, nil, status.Error(codes.NotFound, "the ticket is unknown, expired or spent")
+	}
+	r := t.request
+	now := f.loop.Now()
+	left, bound := untilDeadline(ctx)
+	switch {
+	case t.end > 0 && (!bound || t.end < now+left):
+		r.Budget = max(t.end-now, 0)
+	case bound:
+		r.Budget = left
+	default:
+		r.Budget = max(r.Sent+r.Budget-now, 0)
+	}
+	r.Sent = now
+	result, err := f.run(ctx, &r)
+	if err != nil {
+		return nil, nil, err
+	}
+	record := toRecord(result)
+	chunks := make(chan flight.StreamChunk, 1)
+	chunks <- flight.StreamChunk{Data: record}
+	close(chunks)
+	return record.Schema(), chunks, nil
+}
+
+// DoPutCommandStatementUpdate runs an update and tells how many rows it changed, -1 if that is unknown.
+func (f *Front) DoPutCommandStatementUpdate(ctx context.Context, cmd flightsql.StatementUpdate) (int64, error) {
+	f.Counters.Puts.Add(1)
+	r, err := f.newRequest(ctx, cmd.GetQuery())
+	if err != nil {
+		return 0, err
+	}
+	if left, ok := untilDeadline(ctx); ok {
+		r.Budget = min(r.Budget, left)
+	}
+	r.Update = true
+	result, err := f.run(ctx, r)
+	if err != nil {
+		return 0, err
+	}
+	if result.Changed > 0 {
+		return result.Changed, nil
+	}
+	return -1, nil
+}
+
+// answer is the core's final word on a request.
+type answer struct {
+	result  *router.Result
+	refused bool
+	backoff float64
+	why     router.Reason
+	invalid error
+}
+
+type asker chan answer
+
+func (a asker) Served(r *router.Result)   { a <- answer{result: r} }
+func (a asker) Refused(backoffMS float64) { a <- answer{refused: true, backoff: backoffMS} }
+func (a asker) Failed(why router.Reason)  { a <- answer{why: why} }
+
+// run hands a request to the core and waits for its one answer, or for the client to leave.
+func (f *Front) run(ctx context.Context, r *router.Request) (*router.Result, error) {
+	f.active.Add(1)
+	defer f.active.Add(-1)
+	ch := make(asker, 1)
+	var handle router.Handle // touched in the loop only
+	f.loop.Post(func() {
+		h, err := f.core.Submit(r, ch)
+		if handle = h; err != nil {
+			ch <- answer{invalid: err}
+		}
+	})
+	select {
+	case a := <-ch:
+		return f.word(ctx, r, a)
+	case <-ctx.Done():
+		f.loop.Post(func() { f.core.Abandon(handle) })
+		f.Counters.Left.Add(1)
+		return nil, status.FromContextError(ctx.Err()).Err()
+	}
+}
+
+// word maps the core's answer to gRPC's codes.
+func (f *Front) word(ctx context.Context, r *router.Request, a answer) (*router.Result, error) {
+	switch {
+	case a.result != nil:
+		f.Counters.Served.Add(1)
+		return a.result, nil
+	case errors.Is(a.invalid, router.ErrInUse):
+		f.Counters.Malformed.Add(1)
+		return nil, status.Error(codes.AlreadyExists, a.invalid.Error())
+	case a.invalid != nil:
+		f.Counters.Malformed.Add(1)
+		return nil, status.Error(codes.InvalidArgument, a.invalid.Error())
+	case a.refused:
+		return nil, f.refusal(ctx, a.backoff)
+	}
+	advice := "unsafe: it may have run"
+	if class, _ := f.core.Class(r.Class); class.Semantics == brain.Idempotent {
+		advice = "safe"
+	}
+	_ = grpc.SetTrailer(ctx, metadata.Pairs(metaRetry, advice))
+	if a.why == router.ReasonDeadline {
+		f.Counters.Late.Add(1)
+		return nil, status.Error(codes.DeadlineExceeded, "the time for the query ran out")
+	}
+	f.Counters.Failed.Add(1)
+	return nil, status.Error(codes.Internal, "the query failed; it may have run")
+}
+
+// refusal words a refusal, with the time to stay away in the status's details, the trailer and the text.
+func (f *Front) refusal(ctx context.Context, backoffMS float64) error {
+	f.Counters.Refused.Add(1)
+	_ = grpc.SetTrailer(ctx, metadata.Pairs(metaBackoff, strconv.FormatFloat(backoffMS, 'f', 0, 64),
+		metaRetry, "safe"))
+	s := status.New(codes.ResourceExhausted,
+		fmt.Sprintf("refused, nothing was done; try again later: backoff=%.0f", backoffMS))
+	detailed, err := s.WithDetails(&errdetails.RetryInfo{
+		RetryDelay: durationpb.New(time.Duration(backoffMS * float64(time.Millisecond)))})
+	if err != nil {
+		return s.Err()
+	}
+	return detailed.Err()
+}
+
+// toRecord turns a result into one batch of text columns.
+func toRecord(r *router.Result) arrow.RecordBatch {
+	fields := make([]arrow.Field, len(r.Columns))
+	for i, name := range r.Columns {
+		fields[i] = arrow.Field{Name: name, Type: arrow.BinaryTypes.String, Nullable: true}
+	}
+	b := array.NewRecordBuilder(memory.DefaultAllocator, arrow.NewSchema(fields, nil))
+	defer b.Release()
+	for i, cell := range r.Cells {
+		column := b.Field(i % len(fields)).(*array.StringBuilder)
+		if cell.Null {
+			column.AppendNull()
+		} else {
+			column.Append(cell.Text)
+		}
+	}
+	return b.NewRecordBatch()
+}
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -25,6 +25,7 @@
 	Cells   []Cell
 	WorkMS  float64 // that the query needed; 0 if the engine did not tell
 	NeedMB  float64
+	Changed int64 // rows that an update changed; -1 or 0 if the engine did not tell
 }
 
 // MaxResult bounds the text of a result, in bytes.
@@ -51,6 +52,7 @@
 type Engine struct {
 	ID   brain.EngineID
 	Addr string
+	Kind string
 }
 
 // Call is one attempt for an engine client to carry out.
@@ -62,6 +64,7 @@
 	WaitMS    float64 // how long the router will wait
 	GrantMB   float64 // 0: the engine's own choice
 	Priority  int
+	Update    bool // the client asked for an update, not for rows
 	Once      bool // it must not run twice: proof that it never ran is worth a new connection
 }
 
@@ -157,6 +160,12 @@
 	return c, nil
 }
 
+// Class gives a class of the settings; it may be called from anywhere.
+func (c *Core) Class(name string) (brain.Class, bool) {
+	k, ok := c.classes[name]
+	return k, ok
+}
+
 // Open is the number of requests that are owed an answer.
 func (c *Core) Open() int { return len(c.byID) }
 
@@ -247,7 +256,7 @@
 			if known && old.Addr != addrs[e.ID] {
 				c.client.Forget(old)
 			}
-			c.engines[e.ID] = Engine{ID: e.ID, Addr: addrs[e.ID]}
+			c.engines[e.ID] = Engine{ID: e.ID, Addr: addrs[e.ID], Kind: e.Kind}
 		}
 	}
 	c.events = append(c.events, list)
@@ -340,7 +349,7 @@
 	}
 	c.Counters.Sends++
 	a.call = c.client.Start(Call{Engine: engine, ID: r.ID, Class: r.Class, Statement: r.Statement, WaitMS: wait,
-		GrantMB: r.grant, Priority: r.priority, Once: c.classes[r.Class].Semantics != brain.Idempotent},
+		GrantMB: r.grant, Priority: r.priority, Update: r.Update, Once: c.classes[r.Class].Semantics != brain.Idempotent},
 		func(e End) { c.ended(a, e) })
 	a.timeout = c.loop.At(now+wait, func() { c.ended(a, End{Outcome: brain.TimedOut, Detail: "no answer in time"}) })
 }
--- /dev/null
+++ b/internal/router/mux.go
@@ -0,0 +1,22 @@
+package router
+
+// ByKind hands each call to the client of its engine's kind, or to Other.
+type ByKind struct {
+	Kinds map[string]EngineClient
+	Other EngineClient
+}
+
+func (m *ByKind) client(e Engine) EngineClient {
+	if c := m.Kinds[e.Kind]; c != nil {
+		return c
+	}
+	return m.Other
+}
+
+// Start implements EngineClient.
+func (m *ByKind) Start(call Call, done func(End)) Attempt {
+	return m.client(call.Engine).Start(call, done)
+}
+
+// Forget implements EngineClient.
+func (m *ByKind) Forget(e Engine) { m.client(e).Forget(e) }
--- a/internal/router/request.go
+++ b/internal/router/request.go
@@ -18,6 +18,7 @@
 	EstimateMS float64 // 0 if unknown
 	NeedMB     float64 // 0 if unknown
 	Again      bool
+	Update     bool // the client asked for an update, not for rows
 }
 
 // The names of a request's fields, the same on every front.
