--- a/cmd/windflow/main.go
+++ b/cmd/windflow/main.go
@@ -14,6 +14,7 @@
 	"sync"
 	"syscall"
 
+	"windflow/internal/bgp"
 	"windflow/internal/board"
 	"windflow/internal/clock"
 	"windflow/internal/fetch"
@@ -44,6 +45,7 @@
 func main() {
 	var opts options
 	flag.StringVar(&opts.flightSQL, "flightsql", "", "`file` that turns the Arrow Flight SQL front on, such as deploy/flightsql.toml")
+	flag.StringVar(&opts.bgp, "bgp", "", "`file` that turns BGP announcements on, such as deploy/bgp.toml")
 	flag.BoolVar(&opts.debug, "debug", false, "log each attempt that does not end well")
 	flag.Parse()
 	if err := run(opts); err != nil {
@@ -55,6 +57,7 @@
 // options are what the command line says.
 type options struct {
 	flightSQL string
+	bgp       string
 	debug     bool
 }
 
@@ -106,6 +109,12 @@
 			return nil, err
 		}
 	}
+	var neighbour bgp.Config
+	if opts.bgp != "" {
+		if neighbour, err = bgp.ReadConfig(opts.bgp); err != nil {
+			return nil, err
+		}
+	}
 	sockets := cfg.Limits.Sockets
 	if sockets <= reserved*2 {
 		sockets = 1024
@@ -148,6 +157,10 @@
 	names := board.Names{Zones: cfg.Parsed.Zones, Kinds: cfg.Parsed.Kinds}
 	r.board = board.Follow(loop, r.net, cfg.Board, names, last,
 		func(l board.List) { r.core.Engines(l.Events, l.Addrs) }, log)
+	if opts.bgp != "" {
+		r.bgp = bgp.Start(loop, r.net, neighbour, log)
+		r.bgp.Announce()
+	}
 	log.Info("ready", "listen", r.net.Addr(), "engines", len(known.Events.Engines), "last_event", last)
 	return r, nil
 }
@@ -180,6 +193,7 @@
 	board        *board.Follower
 	flight       *flightsql.Front // nil unless turned on
 	flightClient *flightsql.Client
+	bgp          *bgp.Speaker // nil unless turned on
 	stop         chan struct{}
 	stopping     sync.Once
 	draining     bool
@@ -196,6 +210,9 @@
 	}
 	r.draining = true
 	r.log.Info("draining", "signal", s.String(), "open", r.core.Open())
+	if r.bgp != nil {
+		r.bgp.Withdraw() // first of all, so that new clients go elsewhere
+	}
 	r.busyAt = r.loop.Now()
 	r.loop.After(graceMS, r.drained)
 }
@@ -208,6 +225,9 @@
 		r.busyAt = now
 	}
 	if now-r.busyAt >= quietMS {
+		if r.bgp != nil {
+			r.bgp.Stop()
+		}
 		r.stopping.Do(func() { close(r.stop) })
 		return
 	}
--- a/cmd/windflow/status.go
+++ b/cmd/windflow/status.go
@@ -20,24 +20,23 @@
 		{"core.open", strconv.Itoa(r.core.Open())},
 		{"fetch.connections", strconv.Itoa(r.client.Conns())},
 	}
-	parts := []struct {
+	type part struct {
 		name string
 		of   any
-	}{{"core", &r.core.Counters}, {"mysql", &r.front.Counters}, {"fetch", &r.client.Counters},
+	}
+	parts := []part{{"core", &r.core.Counters}, {"mysql", &r.front.Counters}, {"fetch", &r.client.Counters},
 		{"board", &r.board.Counters}}
 	if r.flight != nil {
-		parts = append(parts, struct {
-			name string
-			of   any
-		}{"flightsql", &r.flight.Counters}, struct {
-			name string
-			of   any
-		}{"flightsql_engines", &r.flightClient.Counters})
+		parts = append(parts, part{"flightsql", &r.flight.Counters},
+			part{"flightsql_engines", &r.flightClient.Counters})
+	}
+	if r.bgp != nil {
+		parts = append(parts, part{"bgp", &r.bgp.Counters})
 	}
-	for _, part := range parts {
-		v := reflect.ValueOf(part.of).Elem()
+	for _, p := range parts {
+		v := reflect.ValueOf(p.of).Elem()
 		for i := range v.NumField() {
-			name := part.name + "." + snake(v.Type().Field(i).Name)
+			name := p.name + "." + snake(v.Type().Field(i).Name)
 			switch field := v.Field(i).Addr().Interface().(type) {
 			case *int64:
 				rows = append(rows, [2]string{name, strconv.FormatInt(*field, 10)})
--- /dev/null
+++ b/internal/bgp/config.go
@@ -0,0 +1,64 @@
+package bgp
+
+import (
+	"fmt"
+	"net/netip"
+
+	"github.com/BurntSushi/toml"
+)
+
+// Config is what a file such as deploy/bgp.toml holds.
+type Config struct {
+	Peer          string         `toml:"peer"`
+	PeerAS        uint32         `toml:"peer_as"`
+	LocalAS       uint32         `toml:"local_as"`
+	RouterID      netip.Addr     `toml:"router_id"`
+	Prefixes      []netip.Prefix `toml:"prefixes"`
+	NextHop       netip.Addr     `toml:"next_hop"`
+	HoldTimeS     int            `toml:"hold_time_s"`
+	ConnectRetryS int            `toml:"connect_retry_s"`
+}
+
+// ReadConfig reads a file; its error is one line that names the field.
+func ReadConfig(path string) (Config, error) {
+	c := Config{HoldTimeS: 90, ConnectRetryS: 5}
+	meta, err := toml.DecodeFile(path, &c)
+	if err != nil {
+		return c, err
+	}
+	if unknown := meta.Undecoded(); len(unknown) > 0 {
+		return c, fmt.Errorf("%s: unknown field %s", path, unknown[0])
+	}
+	if err := c.check(); err != nil {
+		return c, fmt.Errorf("%s: %w", path, err)
+	}
+	return c, nil
+}
+
+func (c Config) check() error {
+	if _, err := netip.ParseAddrPort(c.Peer); err != nil {
+		return fmt.Errorf("field peer: %q is no address:port", c.Peer)
+	}
+	switch {
+	case c.PeerAS == 0:
+		return fmt.Errorf("field peer_as is missing")
+	case c.LocalAS == 0:
+		return fmt.Errorf("field local_as is missing")
+	case !c.RouterID.Is4() || c.RouterID.IsUnspecified():
+		return fmt.Errorf("field router_id: %v is no IPv4 address", c.RouterID)
+	case !c.NextHop.Is4() || c.NextHop.IsUnspecified():
+		return fmt.Errorf("field next_hop: %v is no IPv4 address", c.NextHop)
+	case len(c.Prefixes) == 0 || len(c.Prefixes) > 64:
+		return fmt.Errorf("field prefixes: has %d entries, want 1 to 64", len(c.Prefixes))
+	case c.HoldTimeS < 0 || c.HoldTimeS == 1 || c.HoldTimeS == 2 || c.HoldTimeS > 65535:
+		return fmt.Errorf("field hold_time_s: %d is neither 0 nor from 3 to 65535", c.HoldTimeS)
+	case c.ConnectRetryS < 1:
+		return fmt.Errorf("field connect_retry_s: %d is below 1", c.ConnectRetryS)
+	}
+	for _, p := range c.Prefixes {
+		if !p.Addr().Is4() || p.Masked() != p {
+			return fmt.Errorf("field prefixes: %v is no IPv4 prefix without host bits", p)
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/bgp/speaker.go
@@ -0,0 +1,248 @@
+// Package bgp is a small BGP speaker (RFC 4271) for one neighbour: it announces the service's addresses when
+// the router is ready and withdraws them when it drains. It takes no routes in. It runs in the router's loop.
+package bgp
+
+import (
+	"fmt"
+	"log/slog"
+	"net/netip"
+
+	"windflow/internal/netio"
+	"windflow/internal/router"
+)
+
+// State is where a session stands.
+type State int
+
+// States of a session; RFC 4271's Active is left out, as the speaker never listens.
+const (
+	Idle State = iota
+	Connect
+	OpenSent
+	OpenConfirm
+	Established
+)
+
+func (s State) String() string {
+	return [...]string{"Idle", "Connect", "OpenSent", "OpenConfirm", "Established"}[s]
+}
+
+const (
+	dialTimeout = 5_000.0
+	// openHold is the hold time until the neighbour's OPEN has come: RFC 4271 suggests four minutes.
+	openHold = 240_000.0
+)
+
+// Counters count what the speaker sent and heard.
+type Counters struct{ Connects, Established, Announced, Withdrawn, Keepalives, Updates, Notified, Errors int64 }
+
+// Speaker keeps a session with the neighbour for as long as it is not stopped.
+type Speaker struct {
+	cfg      Config
+	loop     *router.Loop
+	dialer   netio.Dialer
+	log      *slog.Logger
+	announce bool // the service is ready
+	stopped  bool
+	session  *session
+	retry    *router.Timer
+	Counters Counters
+}
+
+// Start returns a speaker that connects at once and announces nothing yet.
+func Start(loop *router.Loop, dialer netio.Dialer, cfg Config, log *slog.Logger) *Speaker {
+	s := &Speaker{cfg: cfg, loop: loop, dialer: dialer, log: log}
+	s.connect()
+	return s
+}
+
+// State is the session's state.
+func (s *Speaker) State() State {
+	if s.session == nil {
+		return Idle
+	}
+	return s.session.state
+}
+
+// Announce says that the service is ready: its addresses are announced now and after each reconnection.
+func (s *Speaker) Announce() { s.set(true) }
+
+// Withdraw says that the service drains. The session stays up.
+func (s *Speaker) Withdraw() { s.set(false) }
+
+func (s *Speaker) set(on bool) {
+	if s.announce == on {
+		return
+	}
+	s.announce = on
+	if s.session != nil && s.session.state == Established {
+		s.session.advertise(on)
+	}
+}
+
+// Stop ends the session in good order and does not reconnect.
+func (s *Speaker) Stop() {
+	s.stopped = true
+	s.retry.Stop()
+	if s.session != nil {
+		s.session.end(&Notification{Code: 6, Subcode: 2}, "stopped")
+	}
+}
+
+func (s *Speaker) connect() {
+	if s.stopped {
+		return
+	}
+	s.Counters.Connects++
+	p := &session{s: s, state: Connect}
+	s.session = p
+	p.conn = s.dialer.Dial(s.cfg.Peer, dialTimeout, p)
+}
+
+// session is one connection to the neighbour.
+type session struct {
+	s         *Speaker
+	conn      netio.Conn
+	state     State
+	buf       []byte
+	holdMS    float64 // 0: no hold timer
+	hold      *router.Timer
+	keepalive *router.Timer
+	fourB     bool
+}
+
+// Opened implements netio.Handler.
+func (p *session) Opened(c netio.Conn) {
+	cfg := p.s.cfg
+	p.conn = c
+	p.state = OpenSent
+	p.conn.Write(encodeOpen(open{as: cfg.LocalAS, hold: uint16(cfg.HoldTimeS), id: cfg.RouterID}))
+	p.holdMS = openHold
+	p.heard()
+}
+
+// Closed implements netio.Handler.
+func (p *session) Closed(err error) { p.end(nil, fmt.Sprint("connection closed: ", err)) }
+
+// Data implements netio.Handler.
+func (p *session) Data(b []byte, _ float64) {
+	p.buf = append(p.buf, b...)
+	for p.state != Idle {
+		kind, body, n, bad := next(p.buf)
+		if bad != nil {
+			p.end(bad, "bad message")
+			return
+		}
+		if n == 0 {
+			return
+		}
+		p.buf = p.buf[n:]
+		p.message(kind, body)
+	}
+}
+
+// heard starts the hold timer anew.
+func (p *session) heard() {
+	p.hold.Stop()
+	if p.holdMS > 0 {
+		p.hold = p.s.loop.After(p.holdMS, func() { p.end(&Notification{Code: 4}, "hold timer expired") })
+	}
+}
+
+// message takes one whole message of the neighbour.
+func (p *session) message(kind byte, body []byte) {
+	if kind == typeNotification {
+		p.s.Counters.Notified++
+		got := &Notification{Code: body[0], Subcode: body[1], Data: body[2:]}
+		p.end(nil, "the neighbour sent "+got.Error())
+		return
+	}
+	switch {
+	case p.state == OpenSent && kind == typeOpen:
+		p.opened(body)
+	case p.state == OpenConfirm && kind == typeKeepalive:
+		p.state = Established
+		p.s.Counters.Established++
+		p.s.log.Info("bgp session established", "peer", p.s.cfg.Peer, "hold_ms", p.holdMS)
+		p.heard()
+		if p.s.announce {
+			p.advertise(true)
+		}
+	case p.state == Established && kind == typeKeepalive:
+		p.heard()
+	case p.state == Established && kind == typeUpdate:
+		p.s.Counters.Updates++
+		if bad := checkUpdate(body); bad != nil {
+			p.end(bad, "bad UPDATE")
+			return
+		}
+		p.heard()
+	default:
+		p.end(&Notification{Code: 5}, fmt.Sprintf("message of type %d in state %v", kind, p.state))
+	}
+}
+
+func (p *session) opened(body []byte) {
+	o, bad := parseOpen(body)
+	cfg := p.s.cfg
+	if bad == nil && o.as != cfg.PeerAS {
+		bad = &Notification{Code: 2, Subcode: 2}
+	}
+	if bad == nil && o.as == cfg.LocalAS && o.id == netip.Addr(cfg.RouterID) {
+		bad = &Notification{Code: 2, Subcode: 3} // a neighbour within the system has an id of its own
+	}
+	if bad != nil {
+		p.end(bad, "bad OPEN")
+		return
+	}
+	p.fourB = o.fourB
+	p.holdMS = float64(min(int(o.hold), cfg.HoldTimeS)) * 1000
+	p.state = OpenConfirm
+	p.heard()
+	p.beat()
+}
+
+// beat sends a KEEPALIVE now and, where there is a hold time, at each third of it.
+func (p *session) beat() {
+	p.s.Counters.Keepalives++
+	p.conn.Write(message(typeKeepalive, nil))
+	if p.holdMS > 0 {
+		p.keepalive = p.s.loop.After(p.holdMS/3, p.beat)
+	}
+}
+
+func (p *session) advertise(on bool) {
+	if on {
+		p.s.Counters.Announced++
+	} else {
+		p.s.Counters.Withdrawn++
+	}
+	p.s.log.Info("bgp update", "peer", p.s.cfg.Peer, "announce", on, "prefixes", p.s.cfg.Prefixes)
+	p.conn.Write(encodeUpdate(p.s.cfg, p.fourB, !on))
+}
+
+// end closes the session, with a NOTIFICATION where there is one to send, and has it opened again later.
+func (p *session) end(n *Notification, why string) {
+	if p.state == Idle {
+		return
+	}
+	was := p.state
+	p.state = Idle
+	p.hold.Stop()
+	p.keepalive.Stop()
+	if n != nil {
+		if n.Code != 6 {
+			p.s.Counters.Errors++
+		}
+		if was > Connect {
+			p.conn.Write(encodeNotification(n))
+		}
+		why += ": " + n.Error()
+	}
+	p.s.log.Warn("bgp session ended", "peer", p.s.cfg.Peer, "state", was.String(), "why", why)
+	p.conn.Close()
+	p.s.session = nil
+	if !p.s.stopped {
+		p.s.retry = p.s.loop.After(float64(p.s.cfg.ConnectRetryS)*1000, p.s.connect)
+	}
+}
--- /dev/null
+++ b/internal/bgp/speaker_test.go
@@ -0,0 +1,287 @@
+package bgp
+
+import (
+	"bytes"
+	"encoding/hex"
+	"fmt"
+	"log/slog"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"windflow/internal/clock"
+	"windflow/internal/netio"
+	"windflow/internal/router"
+)
+
+func testConfig() Config {
+	return Config{Peer: "127.0.0.1:1179", PeerAS: 64512, LocalAS: 64513, RouterID: netip.MustParseAddr("10.0.0.1"),
+		NextHop: netip.MustParseAddr("10.0.0.1"), Prefixes: []netip.Prefix{netip.MustParsePrefix("192.0.2.10/32")},
+		HoldTimeS: 9, ConnectRetryS: 5}
+}
+
+// peer is a stand-in for the neighbour: it keeps what the speaker writes.
+type peer struct {
+	t       *testing.T
+	now     *clock.Manual
+	loop    *router.Loop
+	speaker *Speaker
+	handler netio.Handler
+	dials   int
+	written []byte
+	closed  bool
+}
+
+func newPeer(t *testing.T, cfg Config) *peer {
+	t.Helper()
+	p := &peer{t: t, now: &clock.Manual{MS: 1e12}}
+	p.loop = router.NewLoop(p.now)
+	p.speaker = Start(p.loop, p, cfg, slog.New(slog.DiscardHandler))
+	return p
+}
+
+func (p *peer) Dial(_ string, _ float64, h netio.Handler) netio.Conn {
+	p.dials++
+	p.handler, p.closed = h, false
+	return p
+}
+func (p *peer) Write(b []byte) { p.written = append(p.written, b...) }
+func (p *peer) Close()         { p.closed = true }
+
+func (p *peer) wait(ms float64) {
+	for end := p.now.MS + ms; p.now.MS < end; p.now.MS += 100 {
+		for p.loop.Step() {
+		}
+	}
+}
+
+// heard words what the speaker has written since the last call.
+func (p *peer) heard() string {
+	p.t.Helper()
+	var words []string
+	for len(p.written) > 0 {
+		kind, body, n, err := next(p.written)
+		if err != nil || n == 0 {
+			p.t.Fatalf("the speaker wrote % x", p.written)
+		}
+		name := map[byte]string{typeOpen: "open", typeUpdate: "update", typeNotification: "notification",
+			typeKeepalive: "keepalive"}[kind]
+		words = append(words, strings.TrimSpace(fmt.Sprintf("%s %x", name, body)))
+		p.written = p.written[n:]
+	}
+	return strings.Join(words, ", ")
+}
+
+var peerOpen = open{as: 64512, hold: 30, id: netip.MustParseAddr("10.0.0.2")}
+
+// establish brings a session up.
+func (p *peer) establish() {
+	p.handler.Opened(p)
+	p.handler.Data(encodeOpen(peerOpen), 0)
+	p.handler.Data(message(typeKeepalive, nil), 0)
+}
+
+const (
+	announced = "update 0000" + "0014" + "40010100" + "4002" + "06" + "02010000fc01" + "4003040a000001" + "20c000020a"
+	withdrawn = "update 0005" + "20c000020a" + "0000"
+)
+
+func TestSession(t *testing.T) {
+	p := newPeer(t, testConfig())
+	p.handler.Opened(p)
+	if got, want := p.heard(), "open 04fc0100090a0000010e020c01040001000141040000fc01"; got != want {
+		t.Errorf("wrote %s, want %s", got, want)
+	}
+	p.speaker.Announce() // before the session is up: announced once it is
+	b := encodeOpen(peerOpen)
+	p.handler.Data(b[:5], 0)
+	p.handler.Data(append(b[5:], message(typeKeepalive, nil)...), 0)
+	if got, want := p.heard(), "keepalive, "+announced; got != want || p.speaker.State() != Established {
+		t.Errorf("state %v, wrote %s, want %s", p.speaker.State(), got, want)
+	}
+	p.wait(3100) // a third of the lower hold time
+	if got := p.heard(); got != "keepalive" {
+		t.Errorf("after a third of the hold time: wrote %q", got)
+	}
+	p.handler.Data(message(typeUpdate, []byte{0, 0, 0, 0}), 0)
+	p.speaker.Withdraw()
+	p.speaker.Withdraw()
+	if got := p.heard(); got != withdrawn {
+		t.Errorf("wrote %s, want %s", got, withdrawn)
+	}
+	p.speaker.Stop()
+	if got := p.heard(); got != "notification 0602" || !p.closed {
+		t.Errorf("at the end: wrote %q, closed %v", got, p.closed)
+	}
+	p.wait(60_000)
+	if p.dials != 1 {
+		t.Errorf("dialled %d times after Stop", p.dials)
+	}
+}
+
+// Without a word for the hold time, the session ends and is opened again, and the addresses with it.
+func TestHoldTimerAndReconnect(t *testing.T) {
+	p := newPeer(t, testConfig())
+	p.speaker.Announce()
+	p.establish()
+	p.heard()
+	p.wait(9200)
+	if got := p.heard(); !strings.HasSuffix(got, "notification 0400") || !p.closed {
+		t.Errorf("wrote %q, closed %v", got, p.closed)
+	}
+	p.wait(5100)
+	if p.dials != 2 {
+		t.Fatalf("dialled %d times", p.dials)
+	}
+	p.establish()
+	if got := p.heard(); !strings.HasSuffix(got, announced) {
+		t.Errorf("after reconnection: wrote %q", got)
+	}
+	p.handler.Closed(os.ErrClosed)
+	p.wait(5100)
+	if p.dials != 3 {
+		t.Errorf("dialled %d times after the neighbour closed", p.dials)
+	}
+}
+
+func TestMalformedMessages(t *testing.T) {
+	edit := func(b []byte, at int, v ...byte) []byte {
+		b = bytes.Clone(b)
+		copy(b[at:], v)
+		return b
+	}
+	good := encodeOpen(peerOpen)
+	keepalive := message(typeKeepalive, nil)
+	update := func(hexBody string) []byte {
+		b, err := hex.DecodeString(hexBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return message(typeUpdate, b)
+	}
+	for _, k := range []struct {
+		name        string
+		established bool
+		send        []byte
+		want        string
+	}{
+		{"marker", false, edit(good, 3, 0), "0101"},
+		{"length below a header", false, edit(good, 16, 0, 18), "01020012"},
+		{"length over the most", false, edit(good, 16, 0x10, 1), "01021001"},
+		{"keepalive with a body", true, message(typeKeepalive, []byte{1}), "01020014"},
+		{"short OPEN", false, message(typeOpen, make([]byte, 9)), "0102001c"},
+		{"unknown type", false, edit(good, 18, 9), "010309"},
+		{"version", false, edit(good, 19, 3), "02010004"},
+		{"wrong system", false, encodeOpen(open{as: 1, hold: 30, id: peerOpen.id}), "0202"},
+		{"id of zeros", false, encodeOpen(open{as: 64512, hold: 30, id: netip.IPv4Unspecified()}), "0203"},
+		{"hold time of 2", false, encodeOpen(open{as: 64512, hold: 2, id: peerOpen.id}), "0206"},
+		{"parameters cut short", false, edit(good, 28, 99), "0200"},
+		{"capability cut short", false, edit(good, 32, 99), "0200"},
+		{"unknown parameter", false, edit(good, 29, 1), "0204"},
+		{"keepalive before OPEN", false, keepalive, "0500"},
+		{"update before OPEN", false, update("00000000"), "0500"},
+		{"OPEN twice", true, good, "0500"},
+		{"withdrawn routes too long", true, update("00ff0000"), "0301"},
+		{"attributes too long", true, update("000000ff"), "0301"},
+		{"attribute cut short", true, update("00000004" + "400109ff"), "0301"},
+		{"prefix of 33 bits", true, update("00000000" + "210a000000ff"), "030a"},
+		{"prefix cut short", true, update("00000000" + "200a"), "030a"},
+	} {
+		p := newPeer(t, testConfig())
+		if k.established {
+			p.establish()
+		} else {
+			p.handler.Opened(p)
+		}
+		p.heard()
+		p.handler.Data(k.send, 0)
+		if got := p.heard(); got != "notification "+k.want || !p.closed || p.speaker.State() != Idle {
+			t.Errorf("%s: wrote %q, closed %v, state %v; want notification %s", k.name, got, p.closed,
+				p.speaker.State(), k.want)
+		}
+	}
+}
+
+// A neighbour's NOTIFICATION ends the session without an answer.
+func TestNotificationIsNotAnswered(t *testing.T) {
+	p := newPeer(t, testConfig())
+	p.establish()
+	p.heard()
+	p.handler.Data(encodeNotification(&Notification{Code: 6, Subcode: 4}), 0)
+	if got := p.heard(); got != "" || !p.closed || p.speaker.Counters.Notified != 1 {
+		t.Errorf("wrote %q, closed %v, counted %d", got, p.closed, p.speaker.Counters.Notified)
+	}
+}
+
+func TestUpdateEncodings(t *testing.T) {
+	inside, wide := testConfig(), testConfig()
+	inside.PeerAS = inside.LocalAS
+	wide.LocalAS = 70000
+	wide.Prefixes = []netip.Prefix{netip.MustParsePrefix("10.1.0.0/16")}
+	for _, k := range []struct {
+		name  string
+		cfg   Config
+		fourB bool
+		want  string
+	}{
+		{"within one system", inside, true, "0000" + "0015" + "40010100" + "400200" + "4003040a000001" + "40050400000064" + "20c000020a"},
+		{"to an old speaker", testConfig(), false, "0000" + "0012" + "40010100" + "4002040201fc01" + "4003040a000001" + "20c000020a"},
+		{"a wide number to an old speaker", wide, false, "0000" + "001b" + "40010100" + "40020402015ba0" +
+			"4003040a000001" + "c01106020100011170" + "100a01"},
+	} {
+		got := hex.EncodeToString(encodeUpdate(k.cfg, k.fourB, false)[headerLength:])
+		if diff := cmp.Diff(k.want, got); diff != "" {
+			t.Errorf("%s: %s", k.name, diff)
+		}
+		b, _ := hex.DecodeString(got)
+		if bad := checkUpdate(b); bad != nil {
+			t.Errorf("%s: own UPDATE is bad: %v", k.name, bad)
+		}
+	}
+}
+
+func FuzzMessages(f *testing.F) {
+	f.Add(encodeOpen(peerOpen))
+	f.Add(encodeUpdate(testConfig(), true, false))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		for _, established := range []bool{false, true} {
+			p := newPeer(t, testConfig())
+			if established {
+				p.establish()
+			} else {
+				p.handler.Opened(p)
+			}
+			p.handler.Data(b, 0)
+			p.heard()
+		}
+	})
+}
+
+func TestReadConfig(t *testing.T) {
+	text, err := os.ReadFile("../../deploy/bgp.toml")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, k := range []struct{ from, to, want string }{
+		{"", "", ""},
+		{`peer = "127.0.0.1:1179"`, `peer = "there"`, "field peer:"},
+		{"peer_as = 64512", "", "peer_as"},
+		{`router_id = "127.0.0.1"`, `router_id = "::1"`, "router_id"},
+		{`"127.0.0.1/32"`, `"127.0.0.1/8"`, "prefixes"},
+		{"hold_time_s = 90", "hold_time_s = 2", "hold_time_s"},
+		{"hold_time_s = 90", "hold_time = 2", "unknown field hold_time"},
+	} {
+		path := filepath.Join(t.TempDir(), "bgp.toml")
+		if err := os.WriteFile(path, bytes.Replace(text, []byte(k.from), []byte(k.to), 1), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		_, err := ReadConfig(path)
+		if (err == nil) != (k.want == "") || err != nil && !strings.Contains(err.Error(), k.want) {
+			t.Errorf("%q: error %v, want %q", k.to, err, k.want)
+		}
+	}
+}
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -168,15 +168,10 @@
 	return f, nil
 }
 
-// Dialer opens connections.
-type Dialer interface {
-	Dial(addr string, timeoutMS float64, h netio.Handler) netio.Conn
-}
-
 // Follower keeps a link to the board and tells of every event once, in order.
 type Follower struct {
 	loop   *router.Loop
-	dialer Dialer
+	dialer netio.Dialer
 	addr   string
 	names  Names
 	last   uint64
@@ -191,7 +186,7 @@
 type Counters struct{ Links, Frames, Events, Bad int64 }
 
 // Follow opens the link; last is the number of the last event that is known.
-func Follow(loop *router.Loop, dialer Dialer, addr string, names Names, last uint64, tell func(List),
+func Follow(loop *router.Loop, dialer netio.Dialer, addr string, names Names, last uint64, tell func(List),
 	log *slog.Logger) *Follower {
 	f := &Follower{loop: loop, dialer: dialer, addr: addr, names: names, last: last, tell: tell, log: log}
 	f.open()
--- /dev/null
+++ b/internal/board/board_test.go
@@ -0,0 +1,159 @@
+package board
+
+import (
+	"encoding/hex"
+	"log/slog"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+
+	"windflow/brain"
+	"windflow/internal/clock"
+	"windflow/internal/netio"
+	"windflow/internal/router"
+)
+
+var names = Names{Zones: []string{"hall-a", "hall-b"}, Kinds: []string{"std-8"}}
+
+const (
+	head    = "0000000000000005" // event 5
+	record  = "00c41f7a" + "7f080001" + "1f90" + "00" + "01" + "00" + "0002" + "000005dc" + "0000000000000000"
+	unknown = "00c41f7a" + "7f080001" + "1f90" + "00" + "02" + "00" + "0002" + "000005dc" + "0000000000000000"
+)
+
+func frameOf(t *testing.T, body string) []byte {
+	t.Helper()
+	b, err := hex.DecodeString(body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return append([]byte{0, 0, byte(len(b) >> 8), byte(len(b))}, b...)
+}
+
+func TestParseFrame(t *testing.T) {
+	engine := brain.Engine{ID: 0xc41f7a, Zone: "hall-b", Kind: "std-8", Cell: 2, Size: 1.5}
+	for _, k := range []struct {
+		name, body, err string
+		want            []brain.Engine
+		mode            brain.ListMode
+	}{
+		{"nothing new", head + "00", "", nil, brain.ListChanges},
+		{"whole list", head + "01" + record, "", []brain.Engine{engine}, brain.ListFull},
+		{"changes", head + "02" + record, "", []brain.Engine{engine}, brain.ListChanges},
+		{"unknown kind", head + "03", "unknown kind", nil, 0},
+		{"cut record", head + "02" + record[:50], "not whole records", nil, 0},
+		{"zone out of range", head + "02" + unknown, "out of range", nil, 0},
+		{"payload on nothing", head + "00" + record, "payload", nil, 0},
+		{"too short", "00", "too short", nil, 0},
+	} {
+		f, err := parseFrame(frameOf(t, k.body)[4:], names)
+		if k.err != "" {
+			if err == nil || !strings.Contains(err.Error(), k.err) {
+				t.Errorf("%s: error %v, want %q", k.name, err, k.err)
+			}
+			continue
+		}
+		if err != nil || f.number != 5 {
+			t.Errorf("%s: number %d, %v", k.name, f.number, err)
+		}
+		if diff := cmp.Diff(brain.EngineList{Mode: k.mode, Engines: k.want}, f.list.Events); diff != "" {
+			t.Errorf("%s: %s", k.name, diff)
+		}
+		if len(k.want) > 0 && f.list.Addrs[engine.ID] != "127.8.0.1:8080" {
+			t.Errorf("%s: address %q", k.name, f.list.Addrs[engine.ID])
+		}
+	}
+}
+
+func TestParseKnown(t *testing.T) {
+	member := func(phase string) string {
+		return `{"id":"s-00c41f7a","host_port":"10.1.0.9:8080","locality":"hall-a","flavor":"std-8","cell":2,"phase":"` +
+			phase + `","size":4,"up_since_ms":1500}`
+	}
+	l, last, err := ParseKnown([]byte(`{"rev":41,"notices":[{"rev":40,"pool":{"complete":true,"members":[` +
+		member("active") + `]}},{"rev":41,"pool":{"complete":false,"members":[` + member("leaving") + `]}}]}`))
+	want := brain.EngineList{Mode: brain.ListSaved, Engines: []brain.Engine{{ID: 0xc41f7a, Zone: "hall-a",
+		Kind: "std-8", Cell: 2, Size: 4, State: brain.Draining, Born: clock.Duration(1500)}}}
+	if diff := cmp.Diff(want, l.Events); diff != "" || err != nil || last != 41 {
+		t.Errorf("last %d, %v, %s", last, err, diff)
+	}
+	for _, k := range []struct{ text, want string }{
+		{`{"rev":1,"notices":[{"pool":{"members":[{"id":"c41f7a"}]}}]}`, "notices[0].pool.members[0].id"},
+		{`{"rev":1,"notices":[{"pool":{"members":[` + member("resting") + `]}}]}`, "members[0].phase"},
+		{`{"rev":"x"}`, "rev"},
+	} {
+		if _, _, err := ParseKnown([]byte(k.text)); err == nil || !strings.Contains(err.Error(), k.want) ||
+			strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error %v, want %q", k.text, err, k.want)
+		}
+	}
+}
+
+// dials is a stand-in for the network: it keeps the handlers of the links and what they write.
+type dials struct {
+	links   []netio.Handler
+	written []string
+}
+
+func (d *dials) Dial(_ string, _ float64, h netio.Handler) netio.Conn {
+	d.links = append(d.links, h)
+	return &end{d: d}
+}
+
+type end struct{ d *dials }
+
+func (e *end) Write(b []byte) { e.d.written = append(e.d.written, hex.EncodeToString(b)) }
+func (e *end) Close()         {}
+
+// A bad frame, a gap or silence ends the link, keeps the list, and the next link goes on from the last good
+// event.
+func TestLinkIsReopenedFromTheLastGoodEvent(t *testing.T) {
+	now := &clock.Manual{MS: 1e6}
+	loop := router.NewLoop(now)
+	run := func() {
+		for loop.Step() {
+		}
+	}
+	d := &dials{}
+	var told []int
+	f := Follow(loop, d, "board", names, 4, func(l List) { told = append(told, len(l.Events.Engines)) },
+		slog.New(slog.DiscardHandler))
+	steps := []struct {
+		name, frame string
+		wait        float64
+		links       int
+		asked       string // what the newest link asked from
+	}{
+		{"event 5, in two parts", head + "02" + record, 0, 1, "0000000000000004"},
+		{"event 5 again is passed over", head + "02" + record, 0, 1, "0000000000000004"},
+		{"bad kind", head + "09", 100, 2, "0000000000000005"},
+		{"a gap", "0000000000000007" + "02" + record, 100, 3, "0000000000000005"},
+		{"event 6", "0000000000000006" + "01", 0, 3, "0000000000000005"},
+		{"silence", "", 2700, 4, "0000000000000006"},
+	}
+	d.links[0].Opened(&end{d: d})
+	for _, s := range steps {
+		link := d.links[len(d.links)-1]
+		if s.frame != "" {
+			b := frameOf(t, s.frame)
+			link.Data(b[:3], now.MS)
+			link.Data(b[3:], now.MS)
+		}
+		before := len(d.links)
+		now.MS += s.wait
+		run()
+		now.MS += 100
+		run()
+		if len(d.links) > before {
+			d.links[len(d.links)-1].Opened(&end{d: d})
+		}
+		if len(d.links) != s.links || d.written[len(d.written)-1] != s.asked {
+			t.Errorf("%s: %d links, the last asked from %s; want %d and %s", s.name, len(d.links),
+				d.written[len(d.written)-1], s.links, s.asked)
+		}
+	}
+	if diff := cmp.Diff([]int{1, 0}, told); diff != "" || f.Counters.Bad != 2 {
+		t.Errorf("told %s, %d bad frames", diff, f.Counters.Bad)
+	}
+}
--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -33,11 +33,6 @@
 // columns are the names given to the columns, which an engine's pages don't name.
 var columns = []string{"c1", "c2", "c3"}
 
-// Dialer opens connections.
-type Dialer interface {
-	Dial(addr string, timeoutMS float64, h netio.Handler) netio.Conn
-}
-
 // Config bounds the client.
 type Config struct {
 	MaxConns         int
@@ -54,7 +49,7 @@
 // Client implements router.EngineClient.
 type Client struct {
 	loop           *router.Loop
-	dialer         Dialer
+	dialer         netio.Dialer
 	log            *slog.Logger
 	pool           *pool
 	connectTimeout float64
@@ -63,7 +58,7 @@
 }
 
 // New returns a client.
-func New(loop *router.Loop, dialer Dialer, cfg Config, log *slog.Logger) *Client {
+func New(loop *router.Loop, dialer netio.Dialer, cfg Config, log *slog.Logger) *Client {
 	c := &Client{loop: loop, dialer: dialer, log: log, connectTimeout: cfg.ConnectTimeoutMS,
 		idleFor: min(cfg.IdleMS/2, 10_000)}
 	c.pool = &pool{client: c, max: cfg.MaxConns, idle: map[brain.EngineID][]*conn{}}
--- /dev/null
+++ b/internal/fetch/fetch_test.go
@@ -0,0 +1,215 @@
+package fetch
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/tools/txtar"
+
+	"windflow/brain"
+	"windflow/internal/clock"
+	"windflow/internal/netio"
+	"windflow/internal/router"
+)
+
+// stage plays an exchange with stand-in engines; connections are numbered from 1 as they are dialled.
+type stage struct {
+	t        *testing.T
+	clock    *clock.Manual
+	loop     *router.Loop
+	client   *Client
+	links    []*link
+	attempts []router.Attempt
+	out      strings.Builder
+}
+
+type link struct {
+	s      *stage
+	n      int
+	h      netio.Handler
+	closed bool
+}
+
+func (l *link) Write(b []byte) {
+	head, body, _ := strings.Cut(string(b), "\r\n\r\n")
+	lines := strings.Split(head, "\r\n")
+	fmt.Fprintf(&l.s.out, "  %d < %s", l.n, strings.TrimSuffix(lines[0], " HTTP/1.1"))
+	for _, line := range lines[1:] {
+		if !strings.HasPrefix(line, "Host") && !strings.HasPrefix(line, "Content") {
+			fmt.Fprintf(&l.s.out, "; %s", line)
+		}
+	}
+	if body != "" {
+		fmt.Fprintf(&l.s.out, "; %s", body)
+	}
+	l.s.out.WriteString("\n")
+}
+
+func (l *link) Close() {
+	if !l.closed {
+		l.closed = true
+		fmt.Fprintf(&l.s.out, "  %d closed\n", l.n)
+	}
+}
+
+// Dial implements Dialer.
+func (s *stage) Dial(addr string, _ float64, h netio.Handler) netio.Conn {
+	l := &link{s: s, n: len(s.links) + 1, h: h}
+	s.links = append(s.links, l)
+	fmt.Fprintf(&s.out, "  %d dials %s\n", l.n, addr)
+	return l
+}
+
+func (s *stage) run() {
+	for s.loop.Step() {
+	}
+}
+
+var outcomes = map[brain.Outcome]string{brain.Served: "served", brain.Errored: "errored", brain.Full: "full",
+	brain.ConnectFailed: "connect failed", brain.Reset: "reset"}
+
+// play carries out one line:
+//
+//	start safe|once        an attempt, of what may be repeated or of what may not
+//	up N                   connection N comes up
+//	refused N, hangs N     it does not
+//	N TEXT                 the engine's bytes on connection N; \r\n as usual
+//	N close                the engine closes it
+//	drop, rank P           the oldest attempt is dropped; its priority changes
+//	forget                 the engine is gone
+//	wait MS                time passes
+func (s *stage) play(line string) string {
+	word, rest, _ := strings.Cut(line, " ")
+	number := func(text string) int {
+		n, err := strconv.Atoi(text)
+		if err != nil {
+			s.t.Fatalf("%s: %v", line, err)
+		}
+		return n
+	}
+	engine := router.Engine{ID: 7, Addr: "10.0.0.1:80"}
+	switch word {
+	case "start":
+		s.attempts = append(s.attempts, s.client.Start(router.Call{Engine: engine, ID: "9b1f03aa5c7e2d41",
+			Class: "lookup", Statement: "SELECT 1", WaitMS: 1500.7, GrantMB: 96.2, Priority: 2, Once: rest == "once"},
+			func(e router.End) {
+				fmt.Fprintf(&s.out, "  = %s", outcomes[e.Outcome])
+				if e.Result != nil {
+					fmt.Fprintf(&s.out, " %v work %v need %v", e.Result.Cells, e.Result.WorkMS, e.Result.NeedMB)
+				}
+				s.out.WriteString("\n")
+			}))
+	case "up":
+		l := s.links[number(rest)-1]
+		l.h.Opened(l)
+	case "refused":
+		s.links[number(rest)-1].h.Closed(errors.Join(netio.ErrNotConnected, syscall.ECONNREFUSED))
+	case "hangs":
+		s.links[number(rest)-1].h.Closed(errors.Join(netio.ErrNotConnected, os.ErrDeadlineExceeded))
+	case "wait":
+		for end := s.clock.MS + float64(number(rest)); s.clock.MS < end; s.clock.MS++ {
+			s.run()
+		}
+	case "drop":
+		s.attempts[0].Drop()
+	case "rank":
+		s.attempts[0].SetPriority(number(rest))
+	case "forget":
+		s.client.Forget(engine)
+	default:
+		l := s.links[number(word)-1]
+		if rest == "close" {
+			l.h.Closed(errors.New("connection reset by peer"))
+			break
+		}
+		text, err := strconv.Unquote(`"` + rest + `"`)
+		if err != nil {
+			s.t.Fatalf("%s: %v", line, err)
+		}
+		l.h.Data([]byte(text), s.clock.MS)
+	}
+	s.run()
+	shown := s.out.String()
+	s.out.Reset()
+	return shown
+}
+
+var update = flag.Bool("update", false, "record the exchanges anew")
+
+func TestExchanges(t *testing.T) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no exchanges:", err)
+	}
+	for _, file := range files {
+		archive, err := txtar.ParseFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, f := range archive.Files {
+			t.Run(f.Name, func(t *testing.T) {
+				s := &stage{t: t, clock: &clock.Manual{MS: 1e12}}
+				s.loop = router.NewLoop(s.clock)
+				s.client = New(s.loop, s, Config{MaxConns: 2, ConnectTimeoutMS: 250, IdleMS: 30_000},
+					slog.New(slog.DiscardHandler))
+				var got strings.Builder
+				for line := range strings.Lines(string(f.Data)) {
+					if strings.TrimSpace(line) != "" && !strings.HasPrefix(line, "  ") {
+						got.WriteString(line + s.play(strings.TrimSuffix(line, "\n")))
+					}
+				}
+				if *update {
+					archive.Files[i].Data = []byte(got.String())
+				} else if diff := cmp.Diff(string(f.Data), got.String()); diff != "" {
+					t.Errorf("%s: want -, got +\n%s", f.Name, diff)
+				}
+			})
+		}
+		if *update {
+			if err := os.WriteFile(file, txtar.Format(archive), 0o644); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
+
+func TestParseResponse(t *testing.T) {
+	for _, k := range []struct {
+		name, text, err string
+		status, length  int
+		body            string
+	}{
+		{"whole", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nabcX", "", 200, 41, "abc"},
+		{"chunked", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;x\r\nc\r\n0\r\n\r\n", "", 200, 67, "abc"},
+		{"no body", "HTTP/1.1 204 No Content\r\n\r\n", "", 204, 27, ""},
+		{"cut head", "HTTP/1.1 200 OK\r\nContent-Le", "", 0, 0, ""},
+		{"cut body", "HTTP/1.1 200 OK\r\nContent-Length: 3\r\n\r\nab", "", 0, 0, ""},
+		{"no HTTP", "hello\r\n\r\n", "status line", 0, 0, ""},
+		{"no length", "HTTP/1.1 200 OK\r\n\r\n", "content-length", 0, 0, ""},
+		{"negative length", "HTTP/1.1 200 OK\r\nContent-Length: -1\r\n\r\n", "content-length", 0, 0, ""},
+		{"too long", "HTTP/1.1 200 OK\r\nContent-Length: 999999\r\n\r\n", "content-length", 0, 0, ""},
+		{"bad header", "HTTP/1.1 200 OK\r\nnothing\r\n\r\n", "header line", 0, 0, ""},
+		{"bad chunk", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n", "chunk size", 0, 0, ""},
+		{"endless head", strings.Repeat("x", 9<<10), "without end", 0, 0, ""},
+	} {
+		r, n, err := parseResponse([]byte(k.text))
+		if k.err != "" || err != nil {
+			if err == nil || k.err == "" || !strings.Contains(err.Error(), k.err) {
+				t.Errorf("%s: error %v, want %q", k.name, err, k.err)
+			}
+			continue
+		}
+		if n != k.length || r != nil && (r.status != k.status || string(r.body) != k.body) || (r == nil) != (n == 0) {
+			t.Errorf("%s: %+v, length %d", k.name, r, n)
+		}
+	}
+}
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -33,6 +33,11 @@
 	Closed(err error)
 }
 
+// Dialer opens connections: h hears Opened, or Closed with ErrNotConnected.
+type Dialer interface {
+	Dial(addr string, timeoutMS float64, h Handler) Conn
+}
+
 // ErrNotConnected says that a connection never came up, so that nothing was written to it.
 var ErrNotConnected = errors.New("not connected")
 
--- /dev/null
+++ b/internal/router/core_test.go
@@ -0,0 +1,267 @@
+package router
+
+import (
+	"fmt"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"windflow/brain"
+	"windflow/internal/clock"
+)
+
+func TestTableGroup(t *testing.T) {
+	for _, k := range []struct {
+		statement string
+		want      int64
+	}{
+		{"SELECT day, count(*), max(note) FROM sales_17.orders WHERE tag = '3f9c' GROUP BY day", 17},
+		{"SELECT 'x FROM a_1.t' FROM b_2.t", 2},
+		{"SELECT \"x'\" /* FROM a_1.t */ FROM b_2.t -- c_3.t", 2},
+		{"# FROM a_1.t\nSELECT 1 FROM `b_2`.`t`", 2},
+		{"INSERT INTO stock_5.days SELECT * FROM staging.days", 5},
+		{"INSERT INTO sales_9.t SELECT * FROM staging_4.t", 9},
+		{"select o_3.a from sales_8.orders as o_3", 8},
+		{"UPDATE x_12.t SET a = 1", 12},
+		{"SELECT 1 FROM a, b_6.c", 6},
+		{"SELECT 'it''s \\' FROM a_1.t' FROM b_2 . t", 2},
+		{"SELECT 1 FROM plain.t", 0},
+		{"SELECT 1 FROM a_x.t JOIN b_7.t ON a_x.t.i = b_7.t.i", 7},
+		{"", 0}, {"'", 0}, {"`", 0}, {"/*", 0}, {"a_1.", 1}, {".", 0}, {"``", 0},
+	} {
+		if got := tableGroup(k.statement); got != k.want {
+			t.Errorf("%q: group %d, want %d", k.statement, got, k.want)
+		}
+	}
+}
+
+func FuzzTableGroup(f *testing.F) {
+	f.Add("SELECT 1 FROM `a_1`.t")
+	f.Fuzz(func(t *testing.T, s string) {
+		if tableGroup(s) < 0 {
+			t.Error(s)
+		}
+	})
+}
+
+func TestTimersRunInOrder(t *testing.T) {
+	now := &clock.Manual{}
+	l := NewLoop(now)
+	var got []string
+	note := func(s string) func() { return func() { got = append(got, s) } }
+	l.At(20, note("late"))
+	l.At(10, note("first"))
+	l.At(10, note("second"))
+	l.At(10, note("stopped")).Stop()
+	l.Post(note("posted"))
+	l.Step()
+	now.MS = 15
+	l.Step()
+	if diff := cmp.Diff([]string{"posted", "first", "second"}, got); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// engines is a stand-in for the engine client.
+type engines struct {
+	calls []Call
+	done  []func(End)
+	gone  []Engine
+}
+
+func (e *engines) Start(c Call, done func(End)) Attempt {
+	e.calls, e.done = append(e.calls, c), append(e.done, done)
+	return noAttempt{}
+}
+func (e *engines) Forget(g Engine) { e.gone = append(e.gone, g) }
+
+// asker keeps the answers to one request.
+type asker struct{ answers []string }
+
+func (a *asker) Served(*Result)     { a.answers = append(a.answers, "served") }
+func (a *asker) Refused(ms float64) { a.answers = append(a.answers, fmt.Sprintf("refused %.0f", ms)) }
+func (a *asker) Failed(why Reason)  { a.answers = append(a.answers, fmt.Sprintf("failed %d", why)) }
+
+type bed struct {
+	t       *testing.T
+	now     *clock.Manual
+	loop    *Loop
+	core    *Core
+	engines *engines
+	ids     int
+}
+
+func newBed(t *testing.T) *bed {
+	t.Helper()
+	b := &bed{t: t, now: &clock.Manual{MS: 1e12}, engines: &engines{}}
+	b.loop = NewLoop(b.now)
+	var err error
+	b.core, err = New(b.loop, brain.Config{Gateways: 1, Tick: 5 * time.Millisecond, MaxAttempts: 2, Priorities: true,
+		RetryAfter: true, MaxRetryAfter: 2 * time.Second, Kinds: []brain.Kind{{Name: "k", Cores: 8, MemoryMB: 8192}},
+		Classes: []brain.Class{{Name: "lookup", Aim: time.Second, Deadline: 5 * time.Second, Threads: 1},
+			{Name: "load", Aim: 3 * time.Second, Deadline: 25 * time.Second, Threads: 2, LateWorth: 0.5,
+				Semantics: brain.AtMostOnce}}},
+		b.engines, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	b.list(brain.ListSaved, brain.Live, "10.0.0.1:1")
+	return b
+}
+
+func (b *bed) list(mode brain.ListMode, state brain.EngineState, addr string) {
+	b.loop.Post(func() {
+		b.core.Engines(brain.EngineList{Mode: mode, Engines: []brain.Engine{{ID: 7, Kind: "k", Size: 1, State: state}}},
+			map[brain.EngineID]string{7: addr})
+	})
+	b.run()
+}
+
+func (b *bed) run() {
+	for b.loop.Step() {
+	}
+}
+
+func (b *bed) wait(ms float64) {
+	for end := b.now.MS + ms; b.now.MS < end; b.now.MS++ {
+		b.run()
+	}
+}
+
+// ask submits a request; sent is how long ago its client sent it.
+func (b *bed) ask(class string, budget, sent float64) (*asker, Handle) {
+	b.t.Helper()
+	b.ids++
+	a := &asker{}
+	var h Handle
+	b.loop.Post(func() {
+		var err error
+		h, err = b.core.Submit(&Request{ID: fmt.Sprintf("%016x", b.ids), Class: class, Statement: "S",
+			Sent: b.now.MS - sent, Budget: budget}, a)
+		if err != nil {
+			b.t.Error(err)
+		}
+	})
+	b.run()
+	return a, h
+}
+
+func (b *bed) end(i int, e End) {
+	b.loop.Post(func() { b.engines.done[i](e) })
+	b.run()
+}
+
+// Whatever happens to its attempts, a request gets one answer, before its client stops waiting.
+func TestOneAnswer(t *testing.T) {
+	served := End{Outcome: brain.Served, Result: &Result{}}
+	for _, k := range []struct {
+		name  string
+		class string
+		play  func(*bed, Handle)
+		want  []string
+		calls int
+	}{
+		{"served twice over", "lookup", func(b *bed, _ Handle) { b.end(0, served); b.end(0, served) }, []string{"served"}, 1},
+		{"silent engine", "lookup", func(b *bed, _ Handle) {}, []string{"refused 1000"}, 1},
+		{"silent engine with a load", "load", func(b *bed, _ Handle) {}, []string{"failed 1"}, 1},
+		{"served after the deadline", "load", func(b *bed, _ Handle) { b.wait(2980); b.end(0, served) },
+			[]string{"failed 1"}, 1},
+		{"load reset", "load", func(b *bed, _ Handle) { b.end(0, End{Outcome: brain.Reset}) }, []string{"failed 0"}, 1},
+		{"load errored", "load", func(b *bed, _ Handle) { b.end(0, End{Outcome: brain.Errored}) }, []string{"failed 0"}, 1},
+		{"load full, then served", "load", func(b *bed, _ Handle) {
+			b.end(0, End{Outcome: brain.Full})
+			b.wait(400)
+			b.end(1, served)
+		}, []string{"served"}, 2},
+		{"attempts used up", "lookup", func(b *bed, _ Handle) {
+			b.end(0, End{Outcome: brain.Full})
+			b.wait(400)
+			b.end(1, End{Outcome: brain.Full})
+		}, []string{"refused 1000"}, 2},
+		{"client left", "lookup", func(b *bed, h Handle) {
+			b.loop.Post(func() { b.core.Abandon(h); b.core.Abandon(h) })
+			b.run()
+			b.end(0, served)
+		}, nil, 1},
+	} {
+		b := newBed(t)
+		a, h := b.ask(k.class, 3000, 0)
+		k.play(b, h)
+		b.wait(2971)
+		if diff := cmp.Diff(k.want, a.answers); diff != "" {
+			t.Errorf("%s: %s", k.name, diff)
+		}
+		b.wait(3000)
+		if len(a.answers) != len(k.want) || len(b.engines.calls) != k.calls {
+			t.Errorf("%s: answers %v, %d calls, want %d", k.name, a.answers, len(b.engines.calls), k.calls)
+		}
+		if b.core.Open() != 0 || len(b.core.requests) != 0 {
+			t.Errorf("%s: %d open, %d kept", k.name, b.core.Open(), len(b.core.requests))
+		}
+		c := b.core.Counters
+		if c.Taken != c.Served+c.Refused+c.Failed+c.Abandoned || c.Overdue != 0 {
+			t.Errorf("%s: counters %+v", k.name, c)
+		}
+	}
+}
+
+// A deadline counts from when the client sent: what the query has left is what goes to the engine, and one
+// that came too late is answered at once, without a send.
+func TestDeadlineCountsFromSending(t *testing.T) {
+	b := newBed(t)
+	b.ask("lookup", 1000, 400)
+	if got := b.engines.calls[0].WaitMS; got != 600-answerMargin {
+		t.Errorf("the engine was told %v ms", got)
+	}
+	a, _ := b.ask("lookup", 1000, 1200)
+	if len(a.answers) != 1 || len(b.engines.calls) != 1 {
+		t.Errorf("answers %v, %d sends", a.answers, len(b.engines.calls))
+	}
+}
+
+// Nothing new goes to an engine that drains or is gone, and an address that passes to another engine takes no
+// connections with it.
+func TestDrainAndNewAddress(t *testing.T) {
+	b := newBed(t)
+	b.list(brain.ListChanges, brain.Live, "10.0.0.2:1")
+	b.ask("lookup", 1000, 0)
+	if len(b.engines.calls) != 1 || b.engines.calls[0].Engine.Addr != "10.0.0.2:1" || len(b.engines.gone) != 1 {
+		t.Errorf("calls %+v, forgotten %v", b.engines.calls, b.engines.gone)
+	}
+	for _, state := range []brain.EngineState{brain.Draining, brain.Gone} {
+		b.list(brain.ListChanges, state, "10.0.0.2:1")
+		b.ask("lookup", 1000, 0)
+		if len(b.engines.calls) != 1 {
+			t.Errorf("state %d: sent to an engine that drains or is gone", state)
+		}
+	}
+	if len(b.engines.gone) != 2 {
+		t.Errorf("forgotten %v", b.engines.gone)
+	}
+}
+
+func TestNewRequest(t *testing.T) {
+	good := map[string]string{"method": "lookup", "rid": "9b1f03aa5c7e2d41", "budget": "1500", "acct": "a",
+		"est": "820.0", "mem": "96", "again": "1"}
+	r, err := NewRequest(func(n string) string { return good[n] }, "SELECT 1 FROM s_3.t", 5)
+	want := &Request{ID: "9b1f03aa5c7e2d41", Class: "lookup", Tenant: "a", Statement: "SELECT 1 FROM s_3.t", Group: 3,
+		Sent: 5, Budget: 1500, EstimateMS: 820, NeedMB: 96, Again: true}
+	if diff := cmp.Diff(want, r); diff != "" || err != nil {
+		t.Error(err, diff)
+	}
+	for field, bad := range map[string]string{"method": "", "rid": "9b1f03aa5c7e2d4g", "budget": "0", "est": "-1",
+		"mem": "1e99", "again": "yes"} {
+		_, err := NewRequest(func(n string) string {
+			if n == field {
+				return bad
+			}
+			return good[n]
+		}, "SELECT 1", 5)
+		if err == nil || !strings.Contains(err.Error(), field) {
+			t.Errorf("%s=%q: error %v", field, bad, err)
+		}
+	}
+}
--- a/internal/router/tables.go
+++ b/internal/router/tables.go
@@ -115,7 +115,10 @@
 	if rest[0] == '`' {
 		n := quoted(rest)
 		s.at += n
-		return strings.Trim(rest[:n], "`") + strings.Repeat(" ", btoi(n <= 2))
+		if name := strings.Trim(rest[:n], "`"); name != "" {
+			return name
+		}
+		return "`"
 	}
 	n := 0
 	for n < len(rest) && nameByte(rest[n]) {
@@ -126,13 +129,6 @@
 	return rest[:n]
 }
 
-func btoi(b bool) int {
-	if b {
-		return 1
-	}
-	return 0
-}
-
 // peekDot tells whether a dot comes next.
 func (s *scanner) peekDot() bool {
 	s.skip()
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -77,18 +77,14 @@
 	if err == nil || errors.Is(err, io.EOF) {
 		return err
 	}
-	// json-iterator words the path as "pkg.Type.Field: pkg.Type.Field: ReadX: ..., error found in #N byte ...".
+	// json-iterator words the path as "pkg.Type.Field: Field: ReadX: ..., error found in #N byte ...".
 	line, _, _ := strings.Cut(err.Error(), ", error found in")
-	line, _, _ = strings.Cut(line, "\n")
+	line, _, _ = strings.Cut(strings.ToValidUTF8(line, "?"), "\n")
 	var path []string
 	parts := strings.Split(line, ": ")
-	for len(parts) > 1 {
-		dot := strings.LastIndexByte(parts[0], '.')
-		if dot < 0 && !strings.HasPrefix(parts[0], "[]") {
-			break
-		}
-		if !strings.HasPrefix(parts[0], "[]") {
-			path = append(path, strings.ToLower(parts[0][dot+1:]))
+	for len(parts) > 1 && !strings.ContainsAny(parts[0], " ") && !strings.HasPrefix(strings.ToLower(parts[0]), "read") {
+		if name := parts[0][strings.LastIndexByte(parts[0], '.')+1:]; !strings.HasPrefix(parts[0], "[]") {
+			path = append(path, strings.ToLower(name))
 		}
 		parts = parts[1:]
 	}
