Name the JSON field in configuration errors, and quieten a board that stays down

Seen when trying the program from the README alone: with no board the log grew by ten lines a second; a wrong type deep in the settings printed Go's whole anonymous struct. The link's wait now doubles from 0.1 to 0.5 s, failures in a row are logged at debug level, and a link that speaks is logged. The standard library is asked for the field's JSON name where json-iterator refused; the test now wants classes.deadline-ns and limits.memory_mb.

--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -3,6 +3,7 @@
 package board
 
 import (
+	"context"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -33,8 +34,8 @@
 	// silence is how long the board may say nothing, in milliseconds, before the link counts as dead: it
 	// sends a frame each second.
 	silence = 2500.0
-	// redial is the wait before the link is opened again.
-	redial = 100.0
+	// redialLeast and redialMost are the wait before the link is opened again: it doubles while that fails.
+	redialLeast, redialMost = 100.0, 500.0
 	// maxStart bounds the start of an engine, in Unix milliseconds, to what a time.Duration can hold.
 	maxStart = math.MaxInt64 / 1_000_000
 )
@@ -178,6 +179,7 @@
 	tell   func(List)
 	log    *slog.Logger
 	link   *link
+	redial float64 // the next wait; redialLeast while the link is up
 
 	Counters Counters
 }
@@ -188,7 +190,8 @@
 // Follow opens the link; last is the number of the last event that is known.
 func Follow(loop *router.Loop, dialer netio.Dialer, addr string, names Names, last uint64, tell func(List),
 	log *slog.Logger) *Follower {
-	f := &Follower{loop: loop, dialer: dialer, addr: addr, names: names, last: last, tell: tell, log: log}
+	f := &Follower{loop: loop, dialer: dialer, addr: addr, names: names, last: last, tell: tell, log: log,
+		redial: redialLeast}
 	f.open()
 	return f
 }
@@ -206,6 +209,7 @@
 	conn  netio.Conn
 	buf   []byte
 	timer *router.Timer
+	heard bool // anything came on it
 	done  bool
 }
 
@@ -227,6 +231,10 @@
 		return
 	}
 	l.listen()
+	if !l.heard {
+		l.f.log.Info("board link up", "board", l.f.addr, "last", l.f.last)
+	}
+	l.heard, l.f.redial = true, redialLeast
 	l.buf = append(l.buf, b...)
 	for !l.done && len(l.buf) >= headerLength {
 		n := binary.BigEndian.Uint32(l.buf)
@@ -277,7 +285,14 @@
 	}
 	l.done = true
 	l.timer.Stop()
-	l.f.log.Warn("board link ended", "why", why, "last", l.f.last)
+	level := slog.LevelWarn
+	if !l.heard && l.f.redial > redialLeast {
+		level = slog.LevelDebug // the first failure was logged; the next good link is
+	}
+	l.f.log.Log(context.Background(), level, "board link ended", "why", why, "last", l.f.last)
 	l.conn.Close()
-	l.f.loop.After(redial, l.f.open)
+	l.f.loop.After(l.f.redial, l.f.open)
+	if !l.heard {
+		l.f.redial = min(2*l.f.redial, redialMost)
+	}
 }
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -206,7 +206,7 @@
 // fail ends a dial; a connection that comes up later is closed by up.
 func (s *socket) fail(err error) {
 	if s.c == nil {
-		s.shut(errors.Join(ErrNotConnected, err))
+		s.shut(fmt.Errorf("%w: %w", ErrNotConnected, err))
 	}
 }
 
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -1,9 +1,9 @@
 package settings
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"os"
 	"strconv"
 	"strings"
@@ -70,26 +70,18 @@
 
 // Decode reads JSON and words an error in one line with the field that it is about.
 func Decode(text []byte, into any) error {
-	if !jsoniter.Valid(text) {
-		return errors.New("not valid JSON")
-	}
 	err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(text, into)
-	if err == nil || errors.Is(err, io.EOF) {
-		return err
+	if err == nil {
+		return nil
 	}
-	// json-iterator words the path as "pkg.Type.Field: Field: ReadX: ..., error found in #N byte ...".
-	line, _, _ := strings.Cut(err.Error(), ", error found in")
-	line, _, _ = strings.Cut(strings.ToValidUTF8(line, "?"), "\n")
-	var path []string
-	parts := strings.Split(line, ": ")
-	for len(parts) > 1 && !strings.ContainsAny(parts[0], " ") && !strings.HasPrefix(strings.ToLower(parts[0]), "read") {
-		if name := parts[0][strings.LastIndexByte(parts[0], '.')+1:]; !strings.HasPrefix(parts[0], "[]") {
-			path = append(path, strings.ToLower(name))
-		}
-		parts = parts[1:]
+	// json-iterator names Go's fields and types; the standard library is asked for the field's name in JSON.
+	var te *json.UnmarshalTypeError
+	if errors.As(json.Unmarshal(text, into), &te) {
+		return fmt.Errorf("field %s: a %s does not fit", te.Field, te.Value)
 	}
-	if len(path) == 0 {
-		return errors.New(line)
+	if !jsoniter.Valid(text) {
+		return errors.New("not valid JSON")
 	}
-	return fmt.Errorf("field %s: %s", strings.Join(path, "."), strings.Join(parts, ": "))
+	line, _, _ := strings.Cut(strings.ToValidUTF8(err.Error(), "?"), "\n")
+	return errors.New(line)
 }
--- a/internal/settings/node_test.go
+++ b/internal/settings/node_test.go
@@ -16,9 +16,9 @@
 		{`"127.0.0.1:1"`, `"here"`, "listen"},
 		{`"127.0.0.1:2"`, `7`, "board"},
 		{`"8c1f30d27a5be964"`, `"xyz"`, "seed"},
-		{`"memory_mb":192`, `"memory_mb":"much"`, "memory"},
+		{`"memory_mb":192`, `"memory_mb":"much"`, "limits.memory_mb"},
 		{`"sockets":1024`, `"sockets":-1`, "sockets"},
-		{`"deadline-ns":5`, `"deadline-ns":"soon"`, "deadline"},
+		{`"deadline-ns":5`, `"deadline-ns":"soon"`, "classes.deadline-ns"},
 		{`"settings":{`, `"settings":[{`, "JSON"},
 		{`"settings"`, `"other"`, "settings"},
 	} {
