--- /dev/null
+++ b/internal/flightsql/front_test.go
@@ -0,0 +1,330 @@
+package flightsql
+
+import (
+	"context"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	fsql "github.com/apache/arrow-go/v18/arrow/flight/flightsql"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"windflow/brain"
+	"windflow/internal/clock"
+	"windflow/internal/router"
+)
+
+// engines is a stand-in for the engine client: the statement says how an attempt ends; "hang" has no end.
+type engines struct {
+	loop *router.Loop
+	mu   sync.Mutex
+	runs map[string]int
+}
+
+func (e *engines) Forget(router.Engine) {}
+func (e *engines) Start(c router.Call, done func(router.End)) router.Attempt {
+	e.mu.Lock()
+	e.runs[c.ID]++
+	e.mu.Unlock()
+	end, ok := map[string]router.End{
+		"serve": {Outcome: brain.Served, Result: &router.Result{Columns: []string{"a"}, Changed: 3,
+			Cells: []router.Cell{{Text: "x"}, {Null: true}}}},
+		"full":  {Outcome: brain.Full},
+		"reset": {Outcome: brain.Reset},
+	}[c.Statement]
+	if ok {
+		e.loop.Post(func() { done(end) })
+	}
+	return out{}
+}
+
+type out struct{}
+
+func (out) SetPriority(int) {}
+func (out) Drop()           {}
+
+func newFront(t *testing.T) (*Front, *engines, *fsql.Client) {
+	t.Helper()
+	loop := router.NewLoop(clock.NewSystem())
+	e := &engines{loop: loop, runs: map[string]int{}}
+	core, err := router.New(loop, brain.Config{Gateways: 1, Tick: 5 * time.Millisecond, MaxAttempts: 1,
+		RetryAfter: true, MaxRetryAfter: 2 * time.Second, Kinds: []brain.Kind{{Name: "k", Cores: 8, MemoryMB: 8192}},
+		Classes: []brain.Class{{Name: "lookup", Aim: time.Second, Deadline: 5 * time.Second, Threads: 1},
+			{Name: "load", Aim: 3 * time.Second, Deadline: 25 * time.Second, Threads: 2, LateWorth: 0.5,
+				Semantics: brain.AtMostOnce}}}, e, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	core.Engines(brain.EngineList{Mode: brain.ListSaved, Engines: []brain.Engine{{ID: 7, Kind: "k", Size: 1}}},
+		map[brain.EngineID]string{7: "127.0.0.1:1"})
+	f, err := Listen(Config{Listen: "127.0.0.1:0", MaxConnections: 8}, core, loop, 5, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := fsql.NewClient(f.Addr(), nil, nil, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		loop.Run(stop)
+	}()
+	t.Cleanup(func() {
+		_ = c.Close()
+		f.Stop()
+		close(stop)
+		<-ended
+	})
+	return f, e, c
+}
+
+// call gives a context with fields, as name and value in turn, and a deadline unless it is 0.
+func call(t *testing.T, deadline time.Duration, fields ...string) context.Context {
+	t.Helper()
+	ctx := context.Background()
+	if deadline > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, deadline)
+		t.Cleanup(cancel)
+	}
+	return metadata.AppendToOutgoingContext(ctx, fields...)
+}
+
+func TestAnswersAndCodes(t *testing.T) {
+	_, e, c := newFront(t)
+	const long = 20 * time.Second
+	for _, k := range []struct {
+		name, statement string
+		ctx             context.Context
+		code            codes.Code
+		says            string
+		runs            int
+	}{
+		{"served", "serve", call(t, long, "rid", "0000000000000001", "method", "lookup"), codes.OK, "", 1},
+		{"served within a budget", "serve", call(t, 0, "rid", "0000000000000002", "method", "load", "budget", "9000"),
+			codes.OK, "", 1},
+		{"refused", "full", call(t, long, "rid", "0000000000000003", "method", "load"), codes.ResourceExhausted,
+			"backoff=2000", 1},
+		{"failed", "reset", call(t, long, "rid", "0000000000000004", "method", "load"), codes.Internal, "may have run", 1},
+		{"past the call's deadline", "hang", call(t, 200*time.Millisecond, "rid", "0000000000000005", "method", "load"),
+			codes.DeadlineExceeded, "", 1},
+		{"past the budget", "hang", call(t, long, "rid", "0000000000000006", "method", "load", "budget", "200"),
+			codes.DeadlineExceeded, "", 1},
+		{"no class", "serve", call(t, long, "rid", "0000000000000007"), codes.InvalidArgument, "method", 0},
+		{"unknown class", "serve", call(t, long, "rid", "0000000000000007", "method", "x"), codes.InvalidArgument, "method", 0},
+		{"bad id", "serve", call(t, long, "rid", "7", "method", "load"), codes.InvalidArgument, "rid", 0},
+		{"id twice", "serve", call(t, long, "rid", "0000000000000007", "rid", "0000000000000008", "method", "load"),
+			codes.InvalidArgument, "rid", 0},
+		{"no deadline", "serve", call(t, 0, "rid", "0000000000000007", "method", "load"), codes.InvalidArgument, "budget", 0},
+		{"no statement", "", call(t, long, "rid", "0000000000000007", "method", "load"), codes.InvalidArgument, "statement", 0},
+	} {
+		for _, update := range []bool{true, false} {
+			clear(e.runs)
+			var err error
+			if update {
+				var n int64
+				if n, err = c.ExecuteUpdate(k.ctx, k.statement); err == nil && n != 3 {
+					t.Errorf("%s: %d rows changed", k.name, n)
+				}
+			} else {
+				var rows int64
+				if rows, err = fetch(k.ctx, c, k.statement); err == nil && rows != 2 {
+					t.Errorf("%s: %d rows", k.name, rows)
+				}
+			}
+			if status.Code(err) != k.code || err != nil && !strings.Contains(err.Error(), k.says) {
+				t.Errorf("%s, update %v: %v, want %v with %q", k.name, update, err, k.code, k.says)
+			}
+			runs := 0
+			for _, n := range e.runs {
+				runs += n
+			}
+			// A call whose deadline is behind it already may be turned away by gRPC itself.
+			if runs != k.runs && k.code != codes.DeadlineExceeded || runs > k.runs {
+				t.Errorf("%s, update %v: ran %d times, want %d", k.name, update, runs, k.runs)
+			}
+		}
+	}
+}
+
+func fetch(ctx context.Context, c *fsql.Client, statement string) (int64, error) {
+	info, err := c.Execute(ctx, statement)
+	if err != nil {
+		return 0, err
+	}
+	return redeem(ctx, c, info.Endpoint[0].Ticket)
+}
+
+func redeem(ctx context.Context, c *fsql.Client, ticket *flight.Ticket) (int64, error) {
+	r, err := c.DoGet(ctx, ticket)
+	if err != nil {
+		return 0, err
+	}
+	defer r.Release()
+	rows := int64(0)
+	for r.Next() {
+		rows += r.RecordBatch().NumRows()
+	}
+	return rows, r.Err()
+}
+
+// A refusal says when to come back, for machines too, and a failure whether a retry is safe.
+func TestRetryAdvice(t *testing.T) {
+	_, _, c := newFront(t)
+	info, err := c.Execute(call(t, 20*time.Second, "rid", "0000000000000001", "method", "lookup"), "full")
+	if err != nil {
+		t.Fatal(err)
+	}
+	stream, err := c.Client.DoGet(call(t, 20*time.Second), info.Endpoint[0].Ticket)
+	if err == nil {
+		_, err = stream.Recv()
+	}
+	var delay time.Duration
+	for _, d := range status.Convert(err).Details() {
+		if info, ok := d.(*errdetails.RetryInfo); ok {
+			delay = info.RetryDelay.AsDuration()
+		}
+	}
+	if delay != time.Second || stream.Trailer().Get(metaBackoff)[0] != "1000" || stream.Trailer().Get(metaRetry)[0] != "safe" {
+		t.Errorf("%v: delay %v, trailer %v", err, delay, stream.Trailer())
+	}
+	if info, err = c.Execute(call(t, 20*time.Second, "rid", "0000000000000002", "method", "load"), "reset"); err != nil {
+		t.Fatal(err)
+	}
+	if stream, err = c.Client.DoGet(call(t, 20*time.Second), info.Endpoint[0].Ticket); err == nil {
+		_, err = stream.Recv()
+	}
+	if got := stream.Trailer().Get(metaRetry); len(got) != 1 || !strings.HasPrefix(got[0], "unsafe") {
+		t.Errorf("%v: trailer %v", err, stream.Trailer())
+	}
+}
+
+// A load's ticket is spent by its first fetch, also by two fetches at once; one of a look-up is not.
+func TestTicketOfALoadIsSpentOnce(t *testing.T) {
+	_, e, c := newFront(t)
+	const each = 8
+	for _, k := range []struct {
+		class, id string
+		served    int
+	}{{"load", "0000000000000001", 1}, {"lookup", "0000000000000002", 2}} {
+		info, err := c.Execute(call(t, 20*time.Second, "rid", k.id, "method", k.class), "serve")
+		if err != nil {
+			t.Fatal(err)
+		}
+		served, spent := 0, 0
+		if k.class == "lookup" {
+			for range 2 {
+				if _, err := redeem(call(t, 20*time.Second), c, info.Endpoint[0].Ticket); err == nil {
+					served++
+				}
+			}
+		} else {
+			results := make(chan error, each)
+			for range each {
+				go func() {
+					_, err := redeem(call(t, 20*time.Second), c, info.Endpoint[0].Ticket)
+					results <- err
+				}()
+			}
+			for range each {
+				switch status.Code(<-results) {
+				case codes.OK:
+					served++
+				case codes.NotFound:
+					spent++
+				}
+			}
+			if spent != each-1 {
+				t.Errorf("%d fetches found the ticket spent", spent)
+			}
+		}
+		e.mu.Lock()
+		if served != k.served || e.runs[k.id] != k.served {
+			t.Errorf("%s: served %d, ran %d times, want %d", k.class, served, e.runs[k.id], k.served)
+		}
+		e.mu.Unlock()
+	}
+}
+
+// An id that is still open is told apart from a malformed one, and a client that leaves frees it.
+func TestIDInUse(t *testing.T) {
+	f, e, c := newFront(t)
+	ctx, leave := context.WithCancel(call(t, 20*time.Second, "rid", "0000000000000001", "method", "load"))
+	first := make(chan error, 1)
+	go func() {
+		_, err := c.ExecuteUpdate(ctx, "hang")
+		first <- err
+	}()
+	for ran := 0; ran == 0; time.Sleep(time.Millisecond) {
+		e.mu.Lock()
+		ran = e.runs["0000000000000001"]
+		e.mu.Unlock()
+	}
+	again := call(t, 20*time.Second, "rid", "0000000000000001", "method", "load")
+	if _, err := c.ExecuteUpdate(again, "serve"); status.Code(err) != codes.AlreadyExists {
+		t.Errorf("while it is open: %v", err)
+	}
+	leave()
+	if err := <-first; status.Code(err) != codes.Canceled {
+		t.Errorf("the one that left: %v", err)
+	}
+	for f.Active() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	if _, err := c.ExecuteUpdate(again, "serve"); err != nil {
+		t.Errorf("after it left: %v", err)
+	}
+}
+
+// Tickets that nobody redeems expire, and there is a bound on them.
+func TestTicketsExpireAndAreBounded(t *testing.T) {
+	now := &clock.Manual{MS: 1e12}
+	f, _, _ := newFront(t)
+	f.loop = router.NewLoop(now) // never run: only its clock is read here
+	add := func(size int) bool {
+		return f.keep(&ticket{request: router.Request{Statement: strings.Repeat("x", size)}, expires: now.MS + ticketLife})
+	}
+	for i := range maxTickets {
+		if !add(1) {
+			t.Fatalf("ticket %d is over the bound", i)
+		}
+	}
+	if add(1) {
+		t.Error("a ticket over the bound was kept")
+	}
+	handle := f.order[0].handle
+	now.MS += ticketLife
+	if _, ok := f.redeem(handle); ok {
+		t.Error("an expired ticket was redeemed")
+	}
+	if !add(maxTicketBytes) || add(1) || len(f.tickets) != 1 {
+		t.Errorf("%d tickets of %d bytes are kept", len(f.tickets), f.bytes)
+	}
+}
+
+func TestReadConfig(t *testing.T) {
+	if _, err := ReadConfig("../../deploy/flightsql.toml"); err != nil {
+		t.Error(err)
+	}
+	for text, want := range map[string]string{`listen = "here"`: "field listen", `listen = 5`: "listen",
+		"listen = \"127.0.0.1:1\"\nmax_connections = 0": "max_connections", "lisden = \"127.0.0.1:1\"": "lisden"} {
+		path := filepath.Join(t.TempDir(), "f.toml")
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := ReadConfig(path); err == nil || !strings.Contains(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%q: error %v, want %q", text, err, want)
+		}
+	}
+}
