Test the drain, the dials and the example; bound the stop of the network

Seen: a router that was stopped right after its start hung for ever, in the new test of the example configuration. Checked with the stacks: nbio's engine.Stop waits for a poller whose goroutine clears the shutdown mark as it comes up (acceptorLoop, readWriteLoop), so a stop before that is lost. Ruled out: our loop and the poller's wait in admit. A start that failed after listening (a Flight SQL address in use) would have hung instead of exiting non-zero. Net.Stop now waits a second at most; the program ends right after it.

The drain test holds one request open over SIGTERM, has three more answered on a new connection, and sees the program end by itself.

--- /dev/null
+++ b/cmd/windflow/drain_test.go
@@ -0,0 +1,94 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"net/http"
+	"strings"
+	"syscall"
+	"testing"
+
+	"windflow/internal/settings"
+)
+
+// After SIGTERM the router goes on taking and answering, on open and on new connections, for as long as a
+// request is open, and then ends by itself. It guards against requests lost at a planned restart.
+func TestDrainAnswersWhatItTook(t *testing.T) {
+	release := make(chan struct{})
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if strings.Contains(string(body), "slow") || r.Method == http.MethodGet {
+			<-release
+		}
+		w.Header().Set("X-Parts", "1")
+		fmt.Fprint(w, "a\tb\tc\n")
+	})}
+	go func() { _ = s.Serve(lis) }()
+	t.Cleanup(func() { _ = s.Close() })
+	n := startRouter(t, []string{fmt.Sprintf(
+		`{"id":"s-00000001","host_port":"%s","locality":"a","flavor":"std","phase":"active","size":1}`, lis.Addr())})
+
+	early, err := dialMySQL(n.net.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	ask := func(m *mysqlClient, id int, statement string) error {
+		rows, code, err := m.ask(fmt.Sprintf("/* method=lookup,rid=%016x,budget=60000 */ %s", id, statement))
+		if err != nil || rows != 1 || code != 0 {
+			return fmt.Errorf("%s: %d rows, error %d, %v", statement, rows, code, err)
+		}
+		return nil
+	}
+	slow := make(chan error, 1)
+	go func() { slow <- ask(early, 1, "slow") }()
+	open := make(chan int)
+	for taken := 0; taken == 0; taken = <-open {
+		n.loop.Post(func() { open <- n.core.Open() })
+	}
+	signalled := make(chan struct{})
+	n.loop.Post(func() {
+		n.signal(syscall.SIGTERM)
+		n.signal(syscall.SIGTERM) // a second one changes nothing
+		close(signalled)
+	})
+	<-signalled
+	late, err := dialMySQL(n.net.Addr())
+	if err != nil {
+		t.Fatal("a new connection after SIGTERM:", err)
+	}
+	for id := range 3 {
+		if err := ask(late, 10+id, "quick"); err != nil {
+			t.Error("after SIGTERM:", err)
+		}
+	}
+	select {
+	case <-n.stop:
+		t.Fatal("ended with a request open")
+	default:
+	}
+	close(release)
+	if err := <-slow; err != nil {
+		t.Error("the request that was open:", err)
+	}
+	<-n.stop // ends by itself
+}
+
+// The README starts with the example, so it must stay usable.
+func TestExampleConfiguration(t *testing.T) {
+	cfg, err := settings.ReadNode("../../deploy/example.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Listen = "127.0.0.1:0"
+	n, err := start(cfg, options{}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.close()
+}
--- a/cmd/windflow/mixed_test.go
+++ b/cmd/windflow/mixed_test.go
@@ -247,6 +247,12 @@
 			`{"id":"s-0000000%d","host_port":"%s","locality":"a","flavor":"%s","phase":"active","size":1}`,
 			i+1, lis.Addr(), kind))
 	}
+	return startRouter(t, members)
+}
+
+// startRouter runs a router in this process with those members of the list, and ends it with the test.
+func startRouter(t *testing.T, members []string) *node {
+	t.Helper()
 	cfg, err := settings.ParseNode(fmt.Appendf(nil,
 		`{"name":"n0","listen":"127.0.0.1:0","seed":"1f","limits":{"cores":1,"memory_mb":192,"sockets":1024},
 		"board":"%s","known":{"rev":1,"notices":[{"rev":1,"pool":{"revision":1,"complete":true,"members":[%s]}}]},
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -115,13 +115,25 @@
 // Addr is where it listens.
 func (n *Net) Addr() string { return n.engine.Addrs[0] }
 
+// stopWithin bounds Stop. A poller that nbio started a moment ago may miss its stop (it clears its own mark as
+// it comes up), and engine.Stop would then wait for ever: a router that fails at its start would hang.
+const stopWithin = time.Second
+
 // Stop closes the listener and all connections.
 func (n *Net) Stop() {
 	n.mu.Lock()
 	n.stopped = true
 	n.drained.Broadcast()
 	n.mu.Unlock()
-	n.engine.Stop()
+	stopped := make(chan struct{})
+	go func() {
+		n.engine.Stop()
+		close(stopped)
+	}()
+	select {
+	case <-stopped:
+	case <-time.After(stopWithin):
+	}
 }
 
 // admit waits in the poller's goroutine until the loop has caught up.
--- /dev/null
+++ b/internal/netio/netio_test.go
@@ -0,0 +1,115 @@
+package netio
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"log/slog"
+	"net"
+	"syscall"
+	"testing"
+
+	"windflow/internal/clock"
+	"windflow/internal/router"
+)
+
+// tap is a handler that passes on what it hears.
+type tap struct {
+	conn   Conn
+	up     chan struct{}
+	data   chan []byte
+	closed chan error
+	echo   bool
+}
+
+func newTap() *tap {
+	return &tap{up: make(chan struct{}, 1), data: make(chan []byte, 1024), closed: make(chan error, 2)}
+}
+func (h *tap) Opened(c Conn) { h.conn = c; h.up <- struct{}{} }
+func (h *tap) Data(b []byte, _ float64) {
+	if h.echo {
+		h.conn.Write(b)
+		return
+	}
+	h.data <- b
+}
+func (h *tap) Closed(err error) { h.closed <- err }
+
+func newNet(t *testing.T, listen string, accept func() Handler) (*Net, *router.Loop) {
+	t.Helper()
+	loop := router.NewLoop(clock.NewSystem())
+	n, err := New(loop, listen, accept, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		loop.Run(stop)
+	}()
+	t.Cleanup(func() {
+		close(stop)
+		<-ended
+		n.Stop()
+	})
+	return n, loop
+}
+
+// A refused connection is told as one that never came up. It guards against nbio's own dialer, which reports
+// it as open and, for IPv4, connects to 0.0.0.0.
+func TestDial(t *testing.T) {
+	n, loop := newNet(t, "", nil)
+	free, err := net.Listen("tcp", "127.0.0.2:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := free.Addr().String()
+	_ = free.Close()
+	h := newTap()
+	loop.Post(func() { n.Dial(addr, 5000, h) })
+	if err := <-h.closed; !errors.Is(err, ErrNotConnected) || !errors.Is(err, syscall.ECONNREFUSED) {
+		t.Errorf("refused: %v", err)
+	}
+
+	lis, err := net.Listen("tcp", "127.0.0.2:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	h = newTap()
+	loop.Post(func() { n.Dial(lis.Addr().String(), 5000, h) })
+	peer, err := lis.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-h.up
+	if _, err := peer.Write([]byte("hello")); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-h.data; string(got) != "hello" {
+		t.Errorf("got %q", got)
+	}
+	_ = peer.Close()
+	if err := <-h.closed; errors.Is(err, ErrNotConnected) {
+		t.Errorf("closed by the peer: %v", err)
+	}
+}
+
+// More than the inbound bound goes through, whole and in order, while the poller waits for the loop.
+func TestFloodPassesWhole(t *testing.T) {
+	n, _ := newNet(t, "127.0.0.1:0", func() Handler { h := newTap(); h.echo = true; return h })
+	c, err := net.Dial("tcp", n.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	sent := make([]byte, 2*maxInbound)
+	for i := range sent {
+		sent[i] = byte(i * 7 >> 3)
+	}
+	go func() { _, _ = c.Write(sent) }()
+	got := make([]byte, len(sent))
+	if _, err := io.ReadFull(c, got); err != nil || !bytes.Equal(got, sent) {
+		t.Errorf("%v, same %v", err, bytes.Equal(got, sent))
+	}
+}
