--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -42,8 +42,8 @@
 
 // Counters count what was sent to engines and what came back.
 type Counters struct {
-	Posts, Polls, Pages, Priorities, Deletes, Dials int64
-	BadAnswers, Broken, Silent, AskedAgain          int64
+	Posts, Polls, Pages, Priorities, Dials int64
+	BadAnswers, Broken, Silent, AskedAgain int64
 }
 
 // Client implements router.EngineClient.
