Forget connections to an engine that a whole list leaves out

Found by reading Core.Engines against PROTOCOL: a whole list names no engine as gone, so the idle connections of one that it leaves out stayed, and its address may pass to a new engine. The test of drains covers it.

--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"slices"
 	"strconv"
 
 	"windflow/brain"
@@ -242,9 +243,18 @@
 	asker.Failed(why)
 }
 
-// Engines tells the module of the list, and keeps the addresses. gone names the engines that left.
+// Engines tells the module of the list, and keeps the addresses. Those of engines that left are kept too: an
+// event gathered ahead of this list may still have the module send to one.
 func (c *Core) Engines(list brain.EngineList, addrs map[brain.EngineID]string) {
 	c.Counters.Lists++
+	if list.Mode == brain.ListFull {
+		// An engine that a whole list leaves out is gone; its address may pass to another.
+		for id, e := range c.engines {
+			if !slices.ContainsFunc(list.Engines, func(n brain.Engine) bool { return n.ID == id }) {
+				c.client.Forget(e)
+			}
+		}
+	}
 	for _, e := range list.Engines {
 		old, known := c.engines[e.ID]
 		switch {
--- a/internal/router/core_test.go
+++ b/internal/router/core_test.go
@@ -241,6 +241,11 @@
 	if len(b.engines.gone) != 2 {
 		t.Errorf("forgotten %v", b.engines.gone)
 	}
+	b.loop.Post(func() { b.core.Engines(brain.EngineList{Mode: brain.ListFull}, nil) })
+	b.run()
+	if len(b.engines.gone) != 3 {
+		t.Errorf("an engine that a whole list leaves out: forgotten %v", b.engines.gone)
+	}
 }
 
 func TestNewRequest(t *testing.T) {
