Accept connections ourselves, and set nbio's process-wide logger once

Checked: nbio v1.6.8, poller_epoll.go:232 and :319. acceptorLoop clears `shutdown` as it comes up, so a stop right after the start is lost; it then calls Accept on the closed listener for ever, without a pause, and logs each failure through the one logger of the process. The same loop would spin whenever descriptors run out.

At fault: netio.go, New (logging.SetLogger at each start; cfg.Addrs gives nbio the listener).

Now netio listens and accepts by itself, pauses 20 ms after a failed accept, and hands connections to the poller as Dial does; nbio's logger is set once and what stands behind it is swapped atomically.

--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -3,6 +3,7 @@
 package netio
 
 import (
+	"context"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -10,6 +11,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -54,7 +56,10 @@
 type Net struct {
 	loop   *router.Loop
 	engine *nbio.Engine
-	accept func() Handler
+	log    *slog.Logger
+
+	listener  net.Listener // nil where it only dials
+	accepting sync.WaitGroup
 
 	mu      sync.Mutex
 	drained *sync.Cond
@@ -64,15 +69,11 @@
 
 // New starts a poller. Where listen is not empty, accept gives each new connection's handler.
 func New(loop *router.Loop, listen string, accept func() Handler, log *slog.Logger) (*Net, error) {
-	logging.SetLogger(quiet{log})
-	n := &Net{loop: loop, accept: accept}
+	pollerLog.Store(log)
+	n := &Net{loop: loop, log: log}
 	n.drained = sync.NewCond(&n.mu)
-	cfg := nbio.Config{Name: "windflow", Network: "tcp", NPoller: 1, ReadBufferSize: readBuffer,
-		MaxWriteBufferSize: maxUnwritten}
-	if listen != "" {
-		cfg.Addrs = []string{listen}
-	}
-	n.engine = nbio.NewEngine(cfg)
+	n.engine = nbio.NewEngine(nbio.Config{Name: "windflow", Network: "tcp", NPoller: 1,
+		ReadBufferSize: readBuffer, MaxWriteBufferSize: maxUnwritten})
 	n.engine.OnOpen(func(c *nbio.Conn) {
 		if c.Session() != nil {
 			return // a connection that Dial opened
@@ -106,14 +107,58 @@
 		}
 		loop.Post(func() { s.shut(err) })
 	})
+	if listen != "" {
+		var err error
+		if n.listener, err = net.Listen("tcp", listen); err != nil {
+			return nil, err
+		}
+	}
 	if err := n.engine.Start(); err != nil {
+		if n.listener != nil {
+			_ = n.listener.Close()
+		}
 		return nil, err
 	}
+	if n.listener != nil {
+		n.accepting.Add(1)
+		go n.serve()
+	}
 	return n, nil
 }
 
-// Addr is where it listens.
-func (n *Net) Addr() string { return n.engine.Addrs[0] }
+// Addr is where it listens; it is empty for a Net that only dials.
+func (n *Net) Addr() string {
+	if n.listener == nil {
+		return ""
+	}
+	return n.listener.Addr().String()
+}
+
+// acceptPause is how long serve waits after a failed accept: short of descriptors, every call fails at once.
+const acceptPause = 20 * time.Millisecond
+
+// serve accepts until the listener is closed and hands each connection to the poller.
+//
+// nbio's own acceptor is not used: it clears its stop mark as it comes up, so that a stop right after the start
+// is lost, and then, as on any other error of accept, it tries again without a pause and logs each failure.
+func (n *Net) serve() {
+	defer n.accepting.Done()
+	for {
+		c, err := n.listener.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err == nil {
+			if _, err = n.engine.AddConn(c); err != nil {
+				_ = c.Close() // nbio leaves it open where it could not copy the descriptor
+			}
+		}
+		if err != nil {
+			n.log.Warn("accept failed", "err", err)
+			time.Sleep(acceptPause)
+		}
+	}
+}
 
 // stopWithin bounds Stop. A poller that nbio started a moment ago may miss its stop (it clears its own mark as
 // it comes up), and engine.Stop would then wait for ever: a router that fails at its start would hang.
@@ -125,6 +170,10 @@
 	n.stopped = true
 	n.drained.Broadcast()
 	n.mu.Unlock()
+	if n.listener != nil {
+		_ = n.listener.Close()
+		n.accepting.Wait()
+	}
 	stopped := make(chan struct{})
 	go func() {
 		n.engine.Stop()
@@ -250,14 +299,22 @@
 	}
 }
 
+// pollerLog is where nbio's warnings go. nbio has one logger for the whole process and reads it from its own
+// goroutines, so that is set once, here, and only what stands behind it changes.
+var pollerLog atomic.Pointer[slog.Logger]
+
+func init() { logging.SetLogger(quiet{}) }
+
 // quiet passes nbio's warnings on to the log and drops its chatter.
-type quiet struct{ log *slog.Logger }
+type quiet struct{}
 
-func (q quiet) Debug(string, ...any)         {}
-func (q quiet) Info(string, ...any)          {}
-func (q quiet) Warn(format string, v ...any) { q.log.Warn("poller", "text", sprint(format, v)) }
-func (q quiet) Error(format string, v ...any) {
-	q.log.Error("poller", "text", sprint(format, v))
-}
+func (quiet) Debug(string, ...any)          {}
+func (quiet) Info(string, ...any)           {}
+func (quiet) Warn(format string, v ...any)  { tell(slog.LevelWarn, format, v) }
+func (quiet) Error(format string, v ...any) { tell(slog.LevelError, format, v) }
 
-func sprint(format string, v []any) string { return strings.TrimSpace(fmt.Sprintf(format, v...)) }
+func tell(level slog.Level, format string, v []any) {
+	if log := pollerLog.Load(); log != nil {
+		log.Log(context.Background(), level, "poller", "text", strings.TrimSpace(fmt.Sprintf(format, v...)))
+	}
+}
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"bytes"
+	"context"
 	"errors"
 	"io"
 	"log/slog"
 	"net"
+	"sync/atomic"
 	"syscall"
 	"testing"
 
@@ -95,6 +97,37 @@
 	}
 }
 
+// records counts what is logged.
+type records struct {
+	slog.Handler
+	n *atomic.Int64
+}
+
+func (r records) Handle(context.Context, slog.Record) error { r.n.Add(1); return nil }
+func (r records) Enabled(context.Context, slog.Level) bool  { return true }
+func (r records) WithAttrs([]slog.Attr) slog.Handler        { return r }
+func (r records) WithGroup(string) slog.Handler             { return r }
+
+// A Net that is stopped right after its start stops: its address is free again, nothing is logged, and the
+// next one may take over the log. It guards against nbio's acceptor, which lost such a stop, went on for ever
+// on the closed listener, and read the logger while the next Net wrote it.
+func TestStopRightAfterStart(t *testing.T) {
+	var logged atomic.Int64
+	listen := "127.0.0.1:0"
+	for i := range 4 {
+		log := slog.New(records{slog.DiscardHandler, &logged})
+		n, err := New(router.NewLoop(clock.NewSystem()), listen, func() Handler { return newTap() }, log)
+		if err != nil {
+			t.Fatalf("start %d: %v", i, err)
+		}
+		listen = n.Addr()
+		n.Stop()
+	}
+	if got := logged.Load(); got != 0 {
+		t.Errorf("%d records were logged", got)
+	}
+}
+
 // More than the inbound bound goes through, whole and in order, while the poller waits for the loop.
 func TestFloodPassesWhole(t *testing.T) {
 	n, _ := newNet(t, "127.0.0.1:0", func() Handler { h := newTap(); h.echo = true; return h })
