--- a/internal/flightsql/front.go
+++ b/internal/flightsql/front.go
@@ -1,6 +1,7 @@
 package flightsql
 
 import (
+	"container/list"
 	"context"
 	"encoding/hex"
 	"errors"
@@ -53,11 +54,22 @@
 	rng     *rand.ChaCha8
 	tickets map[string]*ticket
 	bytes   int
-	order   []*ticket // by age; may hold ones that are spent
+	order   *list.List // of the tickets, by age
 
 	Counters Counters
 }
 
+// about is what GetSqlInfo tells clients of this server.
+var about = map[flightsql.SqlInfo]any{
+	flightsql.SqlInfoFlightSqlServerName:         "windflow",
+	flightsql.SqlInfoFlightSqlServerArrowVersion: arrow.PkgVersion,
+	flightsql.SqlInfoFlightSqlServerReadOnly:     false,
+	flightsql.SqlInfoFlightSqlServerSql:          true,
+	flightsql.SqlInfoFlightSqlServerSubstrait:    false,
+	flightsql.SqlInfoFlightSqlServerTransaction:  int32(flightsql.SqlTransactionNone),
+	flightsql.SqlInfoFlightSqlServerCancel:       false,
+}
+
 // Counters count what the front took in.
 type Counters struct{ Infos, Gets, Puts, Malformed, BadTickets, Served, Refused, Failed, Late, Left atomic.Int64 }
 
@@ -68,7 +80,7 @@
 	end     float64 // the latest end that the client's fields name; 0 for none
 	expires float64
 	once    bool
-	spent   bool
+	place   *list.Element // in order
 }
 
 // Listen starts a front; seed makes its tickets hard to guess.
@@ -82,8 +94,13 @@
 		key[i] = byte(seed >> (8 * (i % 8)))
 	}
 	f := &Front{core: core, loop: loop, log: log, addr: lis.Addr().String(), tickets: map[string]*ticket{},
-		rng: rand.NewChaCha8(key)}
+		order: list.New(), rng: rand.NewChaCha8(key)}
 	f.Alloc = memory.DefaultAllocator
+	for id, value := range about {
+		if err := f.RegisterSqlInfo(id, value); err != nil {
+			return nil, errors.Join(err, lis.Close())
+		}
+	}
 	f.server = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage), grpc.MaxConcurrentStreams(256),
 		grpc.ConnectionTimeout(5*time.Second), grpc.MaxHeaderListSize(16<<10))
 	flight.RegisterFlightServiceServer(f.server, flightsql.NewFlightServer(f))
@@ -154,8 +171,12 @@
 // GetFlightInfoStatement checks a query and gives a ticket for it. Nothing runs yet.
 func (f *Front) GetFlightInfoStatement(ctx context.Context, cmd flightsql.StatementQuery,
 	desc *flight.FlightDescriptor) (*flight.FlightInfo, error) {
+	return f.info(ctx, cmd.GetQuery(), desc)
+}
+
+func (f *Front) info(ctx context.Context, statement string, desc *flight.FlightDescriptor) (*flight.FlightInfo, error) {
 	f.Counters.Infos.Add(1)
-	r, err := f.newRequest(ctx, cmd.GetQuery())
+	r, err := f.newRequest(ctx, statement)
 	if err != nil {
 		return nil, err
 	}
@@ -182,9 +203,8 @@
 	now := f.loop.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for len(f.order) > 0 && (f.order[0].spent || f.order[0].expires <= now) {
-		f.drop(f.order[0])
-		f.order = f.order[1:]
+	for e := f.order.Front(); e != nil && e.Value.(*ticket).expires <= now; e = f.order.Front() {
+		f.drop(e.Value.(*ticket))
 	}
 	if len(f.tickets) >= maxTickets || f.bytes+len(t.request.Statement) > maxTicketBytes {
 		return false
@@ -194,17 +214,16 @@
 	t.handle = hex.EncodeToString(raw[:])
 	f.tickets[t.handle] = t
 	f.bytes += len(t.request.Statement)
-	f.order = append(f.order, t)
+	t.place = f.order.PushBack(t)
 	return true
 }
 
-// drop takes a ticket out; f.mu is held.
+// drop takes a ticket out and leaves nothing of it behind, so that the bounds hold for what is kept in all;
+// f.mu is held.
 func (f *Front) drop(t *ticket) {
-	t.spent = true
-	if f.tickets[t.handle] == t {
-		delete(f.tickets, t.handle)
-		f.bytes -= len(t.request.Statement)
-	}
+	delete(f.tickets, t.handle)
+	f.bytes -= len(t.request.Statement)
+	f.order.Remove(t.place)
 }
 
 // redeem gives the query of a ticket. The ticket of what must not run twice is spent by it, so that a client
@@ -256,8 +275,12 @@
 
 // DoPutCommandStatementUpdate runs an update and tells how many rows it changed, -1 if that is unknown.
 func (f *Front) DoPutCommandStatementUpdate(ctx context.Context, cmd flightsql.StatementUpdate) (int64, error) {
+	return f.update(ctx, cmd.GetQuery())
+}
+
+func (f *Front) update(ctx context.Context, statement string) (int64, error) {
 	f.Counters.Puts.Add(1)
-	r, err := f.newRequest(ctx, cmd.GetQuery())
+	r, err := f.newRequest(ctx, statement)
 	if err != nil {
 		return 0, err
 	}
