--- a/internal/mysql/session.go
+++ b/internal/mysql/session.go
@@ -231,11 +231,39 @@
 			r.Cells = append(r.Cells, router.Cell{Text: kv[0]}, router.Cell{Text: kv[1]})
 		}
 		s.Served(r)
+	case len(words) > 1 && strings.EqualFold(words[0], "SELECT") && s.about(text):
 	default:
 		s.fail(errParse, "no fields: a query starts with /* method=CLASS,rid=ID,budget=MS */")
 	}
 }
 
+// about answers what stock clients ask of a server when they connect, and the id that KILL takes. It says no to
+// a SELECT that asks for anything else.
+func (s *session) about(text string) bool {
+	list := strings.ToLower(strings.Join(strings.Fields(text)[1:], " "))
+	r := &router.Result{}
+	const most = 16 // a long list would make a far longer answer
+	items := strings.Split(strings.TrimSuffix(list, " limit 1"), ",")
+	if len(items) > most {
+		return false
+	}
+	for _, item := range items {
+		item = strings.TrimSpace(item)
+		value, ok := map[string]string{
+			"version()": serverVersion, "@@version": serverVersion, "@@version_comment": "windflow query router",
+			"connection_id()": strconv.FormatUint(uint64(s.id), 10), "@@max_allowed_packet": strconv.Itoa(maxPacket),
+			"database()": database, "schema()": database, "user()": user + "@%", "current_user()": user + "@%",
+		}[item]
+		if !ok {
+			return false
+		}
+		r.Columns = append(r.Columns, item)
+		r.Cells = append(r.Cells, router.Cell{Text: value})
+	}
+	s.Served(r)
+	return true
+}
+
 // kill ends the open query of another session: KILL QUERY id. Its client waits no longer, so the module is
 // told that no answer is owed; the session itself stays usable.
 func (s *session) kill(words []string) {
