Tell an engine of a cancel by DELETE; settings that allow cancels need it

Seen: core.go, carryOut: the module's Cancel ended the attempt in the core only, and the engine went on until nobody had asked for 2 s. fetch.go kept a field, posted, that nothing set. Ruled out: sending it also on time-outs, since that would be a cancel where the settings allow none.

Now Attempt has Cancel: fetch sends a DELETE if the POST was written, Flight SQL ends its stream as before.

--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -42,8 +42,8 @@
 
 // Counters count what was sent to engines and what came back.
 type Counters struct {
-	Posts, Polls, Pages, Priorities, Dials int64
-	BadAnswers, Broken, Silent, AskedAgain int64
+	Posts, Polls, Pages, Priorities, Deletes, Dials int64
+	BadAnswers, Broken, Silent, AskedAgain          int64
 }
 
 // Client implements router.EngineClient.
@@ -135,6 +135,7 @@
 	c       *Client
 	call    router.Call
 	done    func(router.End)
+	post    *call // the call that starts the statement
 	current *call
 	last    float64 // when the engine last answered
 	pages   [][]byte
@@ -142,7 +143,6 @@
 	work    float64 // what the engine says that it took
 	need    float64
 	rank    int // the priority that the engine was told
-	posted  bool
 	over    bool
 }
 
@@ -157,7 +157,8 @@
 	b = fmt.Appendf(b, "X-Nice: %d\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n\r\n%s",
 		call.Priority, len(call.Statement), call.Statement)
 	c.Counters.Posts++
-	q.current = c.do(call.Engine, call.Once, b, q.started)
+	q.post = c.do(call.Engine, call.Once, b, q.started)
+	q.current = q.post
 	return q
 }
 
@@ -170,6 +171,16 @@
 	}
 }
 
+// Cancel implements router.Attempt. A query whose POST was never written has nothing to give up.
+func (q *query) Cancel() {
+	if q.over || !q.post.written {
+		return
+	}
+	q.c.Counters.Deletes++
+	q.c.do(q.call.Engine, false, fmt.Appendf(nil, "DELETE /fetch/%s HTTP/1.1\r\nHost: %s\r\n\r\n",
+		q.call.ID, q.call.Engine.Addr), nil)
+}
+
 // SetPriority implements router.Attempt.
 func (q *query) SetPriority(p int) {
 	if q.over || p == q.rank {
--- a/internal/fetch/fetch_test.go
+++ b/internal/fetch/fetch_test.go
@@ -84,7 +84,7 @@
 //	refused N, hangs N     it does not
 //	N TEXT                 the engine's bytes on connection N; \r\n as usual
 //	N close                the engine closes it
-//	drop, rank P           the oldest attempt is dropped; its priority changes
+//	drop, cancel, rank P   the oldest attempt is dropped, or cancelled; its priority changes
 //	forget                 the engine is gone
 //	wait MS                time passes
 func (s *stage) play(line string) string {
@@ -121,6 +121,9 @@
 		}
 	case "drop":
 		s.attempts[0].Drop()
+	case "cancel":
+		s.attempts[0].Cancel()
+		s.attempts[0].Drop()
 	case "rank":
 		s.attempts[0].SetPriority(number(rest))
 	case "forget":
--- a/internal/flightsql/client.go
+++ b/internal/flightsql/client.go
@@ -64,6 +64,9 @@
 // SetPriority implements router.Attempt; Flight SQL has no word for it once a call is out.
 func (a *attempt) SetPriority(int) {}
 
+// Cancel implements router.Attempt; Drop, which follows, ends the call's stream, and that tells the engine.
+func (a *attempt) Cancel() {}
+
 // Drop implements router.Attempt.
 func (a *attempt) Drop() {
 	a.dropped = true
--- a/internal/flightsql/front_test.go
+++ b/internal/flightsql/front_test.go
@@ -66,6 +66,7 @@
 type out struct{}
 
 func (out) SetPriority(int) {}
+func (out) Cancel()         {}
 func (out) Drop()           {}
 
 func newFront(t *testing.T) (*Front, *engines, *fsql.Client) {
--- a/internal/mysql/session_test.go
+++ b/internal/mysql/session_test.go
@@ -36,6 +36,7 @@
 type out struct{}
 
 func (out) SetPriority(int) {}
+func (out) Cancel()         {}
 func (out) Drop()           {}
 
 // wire is a stand-in for a connection: it keeps what the session writes.
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -79,6 +79,8 @@
 // Attempt is an attempt that is out.
 type Attempt interface {
 	SetPriority(int)
+	// Cancel tells the engine to give the query up; Drop follows.
+	Cancel()
 	// Drop ends the interest in it: its end is not reported any more.
 	Drop()
 }
@@ -311,6 +313,7 @@
 		}
 	case brain.Cancel:
 		if r := c.requests[a.Request]; r != nil && a.Attempt < len(r.attempts) && !r.attempts[a.Attempt].ended {
+			r.attempts[a.Attempt].call.Cancel()
 			c.ended(r.attempts[a.Attempt], End{Outcome: brain.Cancelled})
 		}
 	case brain.Refuse:
@@ -400,4 +403,5 @@
 type noAttempt struct{}
 
 func (noAttempt) SetPriority(int) {}
+func (noAttempt) Cancel()         {}
 func (noAttempt) Drop()           {}
--- a/internal/router/core_test.go
+++ b/internal/router/core_test.go
@@ -67,15 +67,24 @@
 
 // engines is a stand-in for the engine client.
 type engines struct {
-	calls []Call
-	done  []func(End)
-	gone  []Engine
+	calls     []Call
+	done      []func(End)
+	gone      []Engine
+	cancelled []string
 }
 
 func (e *engines) Start(c Call, done func(End)) Attempt {
 	e.calls, e.done = append(e.calls, c), append(e.done, done)
-	return noAttempt{}
+	return out{noAttempt{}, e, c.ID}
 }
+
+type out struct {
+	noAttempt
+	e  *engines
+	id string
+}
+
+func (o out) Cancel()              { o.e.cancelled = append(o.e.cancelled, o.id) }
 func (e *engines) Forget(g Engine) { e.gone = append(e.gone, g) }
 
 // asker keeps the answers to one request.
@@ -248,6 +257,22 @@
 	}
 }
 
+// A cancel of the module's goes to the engine, once, and comes back to the module as the attempt's end.
+func TestCancel(t *testing.T) {
+	b := newBed(t)
+	b.ask("lookup", 3000, 0)
+	for range 2 {
+		b.loop.Post(func() { b.core.carryOut(brain.Cancel{Request: "1", Attempt: 0}) })
+		b.run()
+	}
+	if len(b.engines.cancelled) != 1 || b.core.Counters.Ends[brain.Cancelled] != 1 {
+		t.Errorf("told %v, ends %v", b.engines.cancelled, b.core.Counters.Ends)
+	}
+	for _, unknown := range []brain.Cancel{{Request: "9"}, {Request: "1", Attempt: 5}} {
+		b.core.carryOut(unknown)
+	}
+}
+
 func TestNewRequest(t *testing.T) {
 	good := map[string]string{"method": "lookup", "rid": "9b1f03aa5c7e2d41", "budget": "1500", "acct": "a",
 		"est": "820.0", "mem": "96", "again": "1"}
