--- a/internal/fetch/fetch_test.go
+++ b/internal/fetch/fetch_test.go
@@ -2,23 +2,19 @@
 
 import (
 	"errors"
-	"flag"
 	"fmt"
 	"log/slog"
 	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"syscall"
 	"testing"
 
-	"github.com/google/go-cmp/cmp"
-	"golang.org/x/tools/txtar"
-
 	"windflow/brain"
 	"windflow/internal/clock"
 	"windflow/internal/netio"
 	"windflow/internal/router"
+	"windflow/internal/routertest"
 )
 
 // stage plays an exchange with stand-in engines; connections are numbered from 1 as they are dialled.
@@ -146,43 +142,14 @@
 	return shown
 }
 
-var update = flag.Bool("update", false, "record the exchanges anew")
-
 func TestExchanges(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txtar")
-	if err != nil || len(files) == 0 {
-		t.Fatal("no exchanges:", err)
-	}
-	for _, file := range files {
-		archive, err := txtar.ParseFile(file)
-		if err != nil {
-			t.Fatal(err)
-		}
-		for i, f := range archive.Files {
-			t.Run(f.Name, func(t *testing.T) {
-				s := &stage{t: t, clock: &clock.Manual{MS: 1e12}}
-				s.loop = router.NewLoop(s.clock)
-				s.client = New(s.loop, s, Config{MaxConns: 2, ConnectTimeoutMS: 250, IdleMS: 30_000},
-					slog.New(slog.DiscardHandler))
-				var got strings.Builder
-				for line := range strings.Lines(string(f.Data)) {
-					if strings.TrimSpace(line) != "" && !strings.HasPrefix(line, "  ") {
-						got.WriteString(line + s.play(strings.TrimSuffix(line, "\n")))
-					}
-				}
-				if *update {
-					archive.Files[i].Data = []byte(got.String())
-				} else if diff := cmp.Diff(string(f.Data), got.String()); diff != "" {
-					t.Errorf("%s: want -, got +\n%s", f.Name, diff)
-				}
-			})
-		}
-		if *update {
-			if err := os.WriteFile(file, txtar.Format(archive), 0o644); err != nil {
-				t.Fatal(err)
-			}
-		}
-	}
+	routertest.Exchanges(t, func(t *testing.T) func(string) string {
+		s := &stage{t: t, clock: &clock.Manual{MS: 1e12}}
+		s.loop = router.NewLoop(s.clock)
+		s.client = New(s.loop, s, Config{MaxConns: 2, ConnectTimeoutMS: 250, IdleMS: 30_000},
+			slog.New(slog.DiscardHandler))
+		return s.play
+	})
 }
 
 func TestParseResponse(t *testing.T) {
--- a/internal/flightsql/front_test.go
+++ b/internal/flightsql/front_test.go
@@ -25,6 +25,7 @@
 	"windflow/brain"
 	"windflow/internal/clock"
 	"windflow/internal/router"
+	"windflow/internal/routertest"
 )
 
 // engines is a stand-in for the engine client: the statement says how an attempt ends; "hang" has no end.
@@ -91,16 +92,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	stop, ended := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(ended)
-		loop.Run(stop)
-	}()
+	end := routertest.Run(loop)
 	t.Cleanup(func() {
 		_ = c.Close()
 		f.Stop()
-		close(stop)
-		<-ended
+		end()
 	})
 	return f, e, c
 }
--- a/internal/mysql/session_test.go
+++ b/internal/mysql/session_test.go
@@ -2,23 +2,18 @@
 
 import (
 	"encoding/hex"
-	"flag"
 	"fmt"
 	"log/slog"
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/google/go-cmp/cmp"
-	"golang.org/x/tools/txtar"
-
 	"windflow/brain"
 	"windflow/internal/clock"
 	"windflow/internal/netio"
 	"windflow/internal/router"
+	"windflow/internal/routertest"
 )
 
 // engine is a stand-in for the engine client: each attempt waits until the exchange says how it ends.
@@ -211,42 +206,10 @@
 	return strings.Trim(strconv.Quote(string(p)), `"`)
 }
 
-var update = flag.Bool("update", false, "record the exchanges anew")
-
 // TestExchanges plays the recorded exchanges: each file holds lines of "play" with what they show indented
 // below them.
 func TestExchanges(t *testing.T) {
-	files, err := filepath.Glob("testdata/*.txtar")
-	if err != nil || len(files) == 0 {
-		t.Fatal("no exchanges:", err)
-	}
-	for _, file := range files {
-		archive, err := txtar.ParseFile(file)
-		if err != nil {
-			t.Fatal(err)
-		}
-		for i, f := range archive.Files {
-			t.Run(f.Name, func(t *testing.T) {
-				s := newStage(t)
-				var got strings.Builder
-				for line := range strings.Lines(string(f.Data)) {
-					if strings.TrimSpace(line) != "" && !strings.HasPrefix(line, "  ") {
-						got.WriteString(line + s.play(strings.TrimSuffix(line, "\n")))
-					}
-				}
-				if *update {
-					archive.Files[i].Data = []byte(got.String())
-				} else if diff := cmp.Diff(string(f.Data), got.String()); diff != "" {
-					t.Errorf("%s: want -, got +\n%s", f.Name, diff)
-				}
-			})
-		}
-		if *update {
-			if err := os.WriteFile(file, txtar.Format(archive), 0o644); err != nil {
-				t.Fatal(err)
-			}
-		}
-	}
+	routertest.Exchanges(t, func(t *testing.T) func(string) string { return newStage(t).play })
 }
 
 // TestOverlongPacket: a header that announces more than is taken ends the session before anything is
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -12,6 +12,7 @@
 
 	"windflow/internal/clock"
 	"windflow/internal/router"
+	"windflow/internal/routertest"
 )
 
 // tap is a handler that passes on what it hears.
@@ -35,14 +36,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	stop, ended := make(chan struct{}), make(chan struct{})
-	go func() {
-		defer close(ended)
-		loop.Run(stop)
-	}()
+	end := routertest.Run(loop)
 	t.Cleanup(func() {
-		close(stop)
-		<-ended
+		end()
 		n.Stop()
 	})
 	return n, loop
--- /dev/null
+++ b/internal/routertest/routertest.go
@@ -0,0 +1,66 @@
+// Package routertest has what the tests of the router's parts share.
+package routertest
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"golang.org/x/tools/txtar"
+
+	"windflow/internal/router"
+)
+
+var update = flag.Bool("update", false, "record the exchanges anew")
+
+// Exchanges plays the recorded exchanges of testdata. start sets up the stage for one of them; what it returns
+// carries out a line and tells what that shows, as lines that are indented by two spaces.
+func Exchanges(t *testing.T, start func(*testing.T) func(line string) string) {
+	files, err := filepath.Glob("testdata/*.txtar")
+	if err != nil || len(files) == 0 {
+		t.Fatal("no exchanges:", err)
+	}
+	for _, file := range files {
+		archive, err := txtar.ParseFile(file)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, f := range archive.Files {
+			t.Run(f.Name, func(t *testing.T) {
+				play := start(t)
+				var got strings.Builder
+				for line := range strings.Lines(string(f.Data)) {
+					if strings.TrimSpace(line) != "" && !strings.HasPrefix(line, "  ") {
+						got.WriteString(line + play(strings.TrimSuffix(line, "\n")))
+					}
+				}
+				if *update {
+					archive.Files[i].Data = []byte(got.String())
+				} else if diff := cmp.Diff(string(f.Data), got.String()); diff != "" {
+					t.Errorf("%s: want -, got +\n%s", f.Name, diff)
+				}
+			})
+		}
+		if *update {
+			if err := os.WriteFile(file, txtar.Format(archive), 0o644); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+}
+
+// Run runs a loop in a goroutine of its own. The function that it returns ends it and waits for its last step.
+func Run(loop *router.Loop) (end func()) {
+	stop, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		loop.Run(stop)
+	}()
+	return func() {
+		close(stop)
+		<-ended
+	}
+}
