Keep bad Flight SQL calls and answers from ending the router

Seen: new tests of what arrow does not check. An engine's batch whose middle offset points past the text made array.String.Value panic in client.go, read; a client's DoPut without a descriptor made arrow's DoPut handler follow a nil pointer (arrow-go v18.8.0, server.go:975). Either ended the process: the second could be had by any client that reaches the port.

Checked: arrow recovers while it decodes a message, not while a value is read, and gRPC recovers from nothing. Ruled out: garbage headers, commands, tickets and actions, and streams without a schema; these were errors already.

Now read ends such an attempt as one that may have run, and interceptors answer such a call INVALID_ARGUMENT, with a log line. Before: TestBadAnswersOfEngines and TestMalformedCalls crash; after: 12 and 10 cases pass, besides 6 bad answers to updates and the refused connection, which had no test of their own.

--- a/internal/flightsql/client.go
+++ b/internal/flightsql/client.go
@@ -221,8 +221,14 @@
 	return result, trailer, nil
 }
 
-// read takes the rows of one stream as text.
-func read(reader *flight.Reader, into *router.Result, size *int) error {
+// read takes the rows of one stream as text. Arrow checks a message's outline as it comes in, but not, say, each
+// offset of a column of text: reading such a value panics, which must end the attempt and not the router.
+func read(reader *flight.Reader, into *router.Result, size *int) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = fmt.Errorf("%w: %v", errBad, p)
+		}
+	}()
 	var names []string
 	for _, f := range reader.Schema().Fields() {
 		names = append(names, f.Name)
--- /dev/null
+++ b/internal/flightsql/client_test.go
@@ -0,0 +1,202 @@
+package flightsql
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"log/slog"
+	"net"
+	"strings"
+	"testing"
+
+	"github.com/apache/arrow-go/v18/arrow"
+	"github.com/apache/arrow-go/v18/arrow/array"
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"github.com/apache/arrow-go/v18/arrow/ipc"
+	"github.com/apache/arrow-go/v18/arrow/memory"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"windflow/brain"
+	"windflow/internal/clock"
+	"windflow/internal/router"
+	"windflow/internal/routertest"
+)
+
+// rawEngine is a stand-in that answers below Flight SQL, so that it can answer badly.
+type rawEngine struct {
+	flight.BaseFlightServer
+	endpoints []*flight.FlightEndpoint
+	get       func(flight.FlightService_DoGetServer) error
+	put       func(flight.FlightService_DoPutServer) error
+}
+
+func (e *rawEngine) GetFlightInfo(context.Context, *flight.FlightDescriptor) (*flight.FlightInfo, error) {
+	return &flight.FlightInfo{Endpoint: e.endpoints}, nil
+}
+func (e *rawEngine) DoGet(_ *flight.Ticket, s flight.FlightService_DoGetServer) error {
+	return e.get(s)
+}
+func (e *rawEngine) DoPut(s flight.FlightService_DoPutServer) error { return e.put(s) }
+
+// capture keeps what a writer of records sends.
+type capture struct{ sent []*flight.FlightData }
+
+func (c *capture) Send(d *flight.FlightData) error {
+	c.sent = append(c.sent, &flight.FlightData{DataHeader: bytes.Clone(d.DataHeader), DataBody: bytes.Clone(d.DataBody)})
+	return nil
+}
+
+// texts gives the messages of a stream with one column of text.
+func texts(t *testing.T, values ...string) []*flight.FlightData {
+	t.Helper()
+	schema := arrow.NewSchema([]arrow.Field{{Name: "a", Type: arrow.BinaryTypes.String}}, nil)
+	b := array.NewRecordBuilder(memory.DefaultAllocator, schema)
+	b.Field(0).(*array.StringBuilder).AppendValues(values, nil)
+	c := &capture{}
+	w := flight.NewRecordWriter(c, ipc.WithSchema(schema))
+	if err := w.Write(b.NewRecordBatch()); err != nil {
+		t.Fatal(err)
+	}
+	if err := w.Close(); err != nil {
+		t.Fatal(err)
+	}
+	return c.sent
+}
+
+func rows(messages []*flight.FlightData) func(flight.FlightService_DoGetServer) error {
+	return func(s flight.FlightService_DoGetServer) error {
+		for _, m := range messages {
+			if err := s.Send(m); err != nil {
+				return err
+			}
+		}
+		return nil
+	}
+}
+
+// begin runs one attempt at a stand-in and waits for its end.
+func begin(t *testing.T, e *rawEngine, once bool) router.End {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := grpc.NewServer()
+	flight.RegisterFlightServiceServer(s, e)
+	go func() { _ = s.Serve(lis) }()
+	defer s.Stop()
+	return attemptAt(lis.Addr().String(), once)
+}
+
+func attemptAt(addr string, once bool) router.End {
+	loop := router.NewLoop(clock.NewSystem())
+	c := NewClient(loop, 5000, slog.New(slog.DiscardHandler))
+	defer routertest.Run(loop)()
+	engine := router.Engine{ID: 7, Addr: addr}
+	ended := make(chan router.End, 1)
+	loop.Post(func() {
+		c.Start(router.Call{Engine: engine, ID: "9b1f03aa5c7e2d41", Class: "x", Statement: "S", WaitMS: 20_000, Once: once},
+			func(e router.End) { ended <- e })
+	})
+	end := <-ended
+	loop.Post(func() { c.Forget(engine) })
+	return end
+}
+
+// Whatever an engine answers, an attempt ends with an outcome, and only what proves that nothing ran says so. The
+// broken offsets guard against a crash: arrow checks the last offset of a column of text only, and panics over
+// others when the value is read.
+func TestBadAnswersOfEngines(t *testing.T) {
+	whole := texts(t, "ab", "cd", "ef")
+	broken := texts(t, "ab", "cd", "ef")
+	copy(broken[1].DataBody[4:], []byte{0xff, 0xff, 0xff, 0x7f}) // the end of the first value
+	if bytes.Equal(broken[1].DataBody, whole[1].DataBody) {
+		t.Fatal("nothing is broken")
+	}
+	noSchema := []*flight.FlightData{{DataHeader: []byte{1, 2, 3, 4, 5, 6, 7, 8, 9, 10, 11, 12}, DataBody: []byte("x")}}
+	one := []*flight.FlightEndpoint{{Ticket: &flight.Ticket{Ticket: []byte("t")}}}
+	fails := func(code codes.Code, trailer ...string) func(flight.FlightService_DoGetServer) error {
+		return func(s flight.FlightService_DoGetServer) error {
+			s.SetTrailer(metadata.Pairs(trailer...))
+			return status.Error(code, "no")
+		}
+	}
+	for _, k := range []struct {
+		name      string
+		endpoints []*flight.FlightEndpoint
+		get       func(flight.FlightService_DoGetServer) error
+		want      brain.Outcome
+	}{
+		{"whole", one, rows(whole), brain.Served},
+		{"broken offsets", one, rows(broken), brain.Errored},
+		{"no endpoint", nil, rows(whole), brain.Errored},
+		{"no ticket", []*flight.FlightEndpoint{{}}, rows(whole), brain.Served},
+		{"no Arrow at all", one, rows(noSchema), brain.Errored},
+		{"rows without a schema", one, rows(whole[1:]), brain.Errored},
+		{"a result too big", one, rows(texts(t, strings.Repeat("x", router.MaxResult))), brain.Errored},
+		{"nothing", one, rows(nil), brain.Errored},
+		{"its own failure", one, fails(codes.Internal), brain.Errored},
+		{"full, with proof", one, fails(codes.Unavailable, metaNotBegun, "1"), brain.Full},
+		{"full, without proof", one, fails(codes.Unavailable), brain.Reset},
+		{"proof beside another code", one, fails(codes.Internal, metaNotBegun, "1"), brain.Errored},
+	} {
+		end := begin(t, &rawEngine{endpoints: k.endpoints, get: k.get}, false)
+		if end.Outcome != k.want {
+			t.Errorf("%s: outcome %v (%s), want %v", k.name, end.Outcome, end.Detail, k.want)
+		}
+	}
+}
+
+func TestBadAnswersToUpdates(t *testing.T) {
+	changed := &flight.PutResult{AppMetadata: []byte{8, 5}} // 5 rows, in protobuf
+	answers := func(err error, results ...*flight.PutResult) func(flight.FlightService_DoPutServer) error {
+		return func(s flight.FlightService_DoPutServer) error {
+			if _, err := s.Recv(); err != nil {
+				return err
+			}
+			for _, r := range results {
+				if err := s.Send(r); err != nil {
+					return err
+				}
+			}
+			return err
+		}
+	}
+	for _, k := range []struct {
+		name string
+		put  func(flight.FlightService_DoPutServer) error
+		want brain.Outcome
+	}{
+		{"whole", answers(nil, changed), brain.Served},
+		{"none", answers(nil), brain.Errored},
+		{"two", answers(nil, changed, changed), brain.Errored},
+		{"no protobuf", answers(nil, &flight.PutResult{AppMetadata: []byte{0xff}}), brain.Errored},
+		{"a failure after it", answers(status.Error(codes.Internal, "no"), changed), brain.Errored},
+		{"the end of the stream as an error", answers(io.ErrUnexpectedEOF), brain.Errored},
+	} {
+		end := begin(t, &rawEngine{put: k.put}, true)
+		if end.Outcome != k.want {
+			t.Errorf("%s: outcome %v (%s), want %v", k.name, end.Outcome, end.Detail, k.want)
+		}
+		if end.Outcome == brain.Served && end.Result.Changed != 5 {
+			t.Errorf("%s: %d rows changed", k.name, end.Result.Changed)
+		}
+	}
+}
+
+// A refused connection proves that nothing ran, for a load too.
+func TestRefusedConnection(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = lis.Close()
+	for _, once := range []bool{true, false} {
+		if end := attemptAt(lis.Addr().String(), once); end.Outcome != brain.ConnectFailed {
+			t.Errorf("once %v: outcome %v (%s)", once, end.Outcome, end.Detail)
+		}
+	}
+}
--- a/internal/flightsql/front.go
+++ b/internal/flightsql/front.go
@@ -102,7 +102,8 @@
 		}
 	}
 	f.server = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage), grpc.MaxConcurrentStreams(256),
-		grpc.ConnectionTimeout(5*time.Second), grpc.MaxHeaderListSize(16<<10))
+		grpc.ConnectionTimeout(5*time.Second), grpc.MaxHeaderListSize(16<<10),
+		grpc.UnaryInterceptor(f.guardUnary), grpc.StreamInterceptor(f.guardStream))
 	flight.RegisterFlightServiceServer(f.server, flightsql.NewFlightServer(f))
 	go func() {
 		if err := f.server.Serve(netutil.LimitListener(lis, cfg.MaxConnections)); err != nil {
@@ -121,6 +122,26 @@
 // Stop closes the listener and all connections.
 func (f *Front) Stop() { f.server.Stop() }
 
+// guard ends a call that panicked as malformed. It stands against what arrow's server does not check before it
+// looks: a DoPut without a descriptor, for one, would end the process.
+func (f *Front) guard(method string, err *error) {
+	if p := recover(); p != nil {
+		f.log.Warn("malformed flight call", "method", method, "panic", p)
+		*err = f.malformed("the call lacks what it must hold, or can't be read")
+	}
+}
+
+func (f *Front) guardUnary(ctx context.Context, req any, info *grpc.UnaryServerInfo, next grpc.UnaryHandler) (
+	reply any, err error) {
+	defer f.guard(info.FullMethod, &err)
+	return next(ctx, req)
+}
+
+func (f *Front) guardStream(srv any, s grpc.ServerStream, info *grpc.StreamServerInfo, next grpc.StreamHandler) (err error) {
+	defer f.guard(info.FullMethod, &err)
+	return next(srv, s)
+}
+
 // newRequest reads the fields out of the call's metadata. The call's deadline and the budget both bind.
 func (f *Front) newRequest(ctx context.Context, statement string) (*router.Request, error) {
 	now := f.loop.Now()
--- a/internal/flightsql/front_test.go
+++ b/internal/flightsql/front_test.go
@@ -1,6 +1,7 @@
 package flightsql
 
 import (
+	"bytes"
 	"context"
 	"log/slog"
 	"os"
@@ -317,6 +318,73 @@
 	}
 }
 
+// Calls that leave out what they must hold are malformed, never a crash; the front goes on serving.
+func TestMalformedCalls(t *testing.T) {
+	_, e, c := newFront(t)
+	ctx := func() context.Context { return call(t, 20*time.Second, "rid", "0000000000000001", "method", "load") }
+	garbage := []byte{0xff, 0x01, 0x02}
+	for _, k := range []struct {
+		name string
+		call func() error
+	}{
+		{"info without a descriptor", func() error { _, err := c.Client.GetFlightInfo(ctx(), nil); return err }},
+		{"info about garbage", func() error {
+			_, err := c.Client.GetFlightInfo(ctx(), &flight.FlightDescriptor{Type: flight.DescriptorCMD, Cmd: garbage})
+			return err
+		}},
+		{"schema without a descriptor", func() error { _, err := c.Client.GetSchema(ctx(), nil); return err }},
+		{"fetch without a ticket", func() error { _, err := redeem(ctx(), c, &flight.Ticket{}); return err }},
+		{"fetch with garbage", func() error { _, err := redeem(ctx(), c, &flight.Ticket{Ticket: garbage}); return err }},
+		{"update without a descriptor", func() error { return put(ctx(), c, &flight.FlightData{}) }},
+		{"update with garbage", func() error {
+			return put(ctx(), c, &flight.FlightData{DataHeader: garbage, DataBody: garbage,
+				FlightDescriptor: &flight.FlightDescriptor{Type: flight.DescriptorCMD, Cmd: garbage}})
+		}},
+		{"update with a long garbage header", func() error {
+			return put(ctx(), c, &flight.FlightData{DataHeader: bytes.Repeat(garbage, 50)})
+		}},
+		{"action with garbage", func() error {
+			s, err := c.Client.DoAction(ctx(), &flight.Action{Type: fsql.CreatePreparedStatementActionType, Body: garbage})
+			if err == nil {
+				_, err = s.Recv()
+			}
+			return err
+		}},
+		{"action without a type", func() error {
+			s, err := c.Client.DoAction(ctx(), &flight.Action{})
+			if err == nil {
+				_, err = s.Recv()
+			}
+			return err
+		}},
+	} {
+		if err := k.call(); status.Code(err) != codes.InvalidArgument {
+			t.Errorf("%s: %v", k.name, err)
+		}
+	}
+	if e.ran("0000000000000001") != 0 {
+		t.Error("something reached an engine")
+	}
+	if n, err := c.ExecuteUpdate(ctx(), "serve"); n != 3 || err != nil {
+		t.Errorf("a good update afterwards: %d, %v", n, err)
+	}
+}
+
+func put(ctx context.Context, c *fsql.Client, d *flight.FlightData) error {
+	s, err := c.Client.DoPut(ctx)
+	if err != nil {
+		return err
+	}
+	if err := s.Send(d); err != nil {
+		return err
+	}
+	if err := s.CloseSend(); err != nil {
+		return err
+	}
+	_, err = s.Recv()
+	return err
+}
+
 // Clients ask what the server can do before they use it.
 func TestSqlInfo(t *testing.T) {
 	_, _, c := newFront(t)
