Bound what Flight SQL calls may hold at once, and the length of a statement

Seen: reading front.go for the memory that the deployment gives: 128 connections of 256 streams with messages of 256 KB could hold 8 GB in calls that stop short of their end, and gRPC raises its windows by itself. Ruled out: the MySQL front, where a session holds 128 KB at most and sessions are bounded.

Now 32 connections by default, 32 calls each, messages of 128 KB and fixed windows: 128 MB at the worst. A statement over 64 KB is INVALID_ARGUMENT; so far a long one was cut off by gRPC as RESOURCE_EXHAUSTED, which means refused. A case in TestMalformedCalls shows it.

--- a/internal/flightsql/config.go
+++ b/internal/flightsql/config.go
@@ -18,7 +18,7 @@
 
 // ReadConfig reads a file; its error is one line that names the field.
 func ReadConfig(path string) (Config, error) {
-	c := Config{MaxConnections: 128}
+	c := Config{MaxConnections: 32}
 	meta, err := toml.DecodeFile(path, &c)
 	switch {
 	case err != nil:
@@ -45,6 +45,6 @@
 	// metaBackoff and metaRetry are the front's advice to its clients.
 	metaBackoff = "backoff-ms"
 	metaRetry   = "retry"
-	// maxMessage bounds one gRPC message of either side.
+	// maxMessage bounds one gRPC message of an engine.
 	maxMessage = 256 << 10
 )
--- a/internal/flightsql/front.go
+++ b/internal/flightsql/front.go
@@ -37,6 +37,15 @@
 	// maxTickets and maxTicketBytes bound what clients that never redeem may pile up.
 	maxTickets     = 4096
 	maxTicketBytes = 8 << 20
+	// maxStatement bounds a statement, as on the MySQL front; a call holds little else, so maxCall leaves room to
+	// tell a client what is wrong.
+	maxStatement = 64 << 10
+	maxCall      = 2 * maxStatement
+	// maxStreams bounds the calls of one connection. Were all calls of all connections to stop short of their
+	// end, they would hold max_connections * maxStreams * maxCall: 128 MB of the 192 with the default of 32.
+	maxStreams = 32
+	// window is how much a client may send ahead; given here, gRPC does not raise it by itself.
+	window = 64 << 10
 )
 
 // Front takes requests over Flight SQL. Its methods run in gRPC's goroutines; what touches the core is posted
@@ -101,7 +110,8 @@
 			return nil, errors.Join(err, lis.Close())
 		}
 	}
-	f.server = grpc.NewServer(grpc.MaxRecvMsgSize(maxMessage), grpc.MaxConcurrentStreams(256),
+	f.server = grpc.NewServer(grpc.MaxRecvMsgSize(maxCall), grpc.MaxConcurrentStreams(maxStreams),
+		grpc.InitialWindowSize(window), grpc.InitialConnWindowSize(window),
 		grpc.ConnectionTimeout(5*time.Second), grpc.MaxHeaderListSize(16<<10),
 		grpc.UnaryInterceptor(f.guardUnary), grpc.StreamInterceptor(f.guardStream))
 	flight.RegisterFlightServiceServer(f.server, flightsql.NewFlightServer(f))
@@ -170,6 +180,9 @@
 	if err == nil {
 		err = twice
 	}
+	if err == nil && len(statement) > maxStatement {
+		err = fmt.Errorf("the statement has %d bytes; at most %d are taken", len(statement), maxStatement)
+	}
 	if err == nil {
 		if _, ok := f.core.Class(r.Class); !ok {
 			err = fmt.Errorf("field %s: unknown class %q", router.FieldClass, r.Class)
--- a/internal/flightsql/front_test.go
+++ b/internal/flightsql/front_test.go
@@ -332,6 +332,10 @@
 			_, err := c.Client.GetFlightInfo(ctx(), &flight.FlightDescriptor{Type: flight.DescriptorCMD, Cmd: garbage})
 			return err
 		}},
+		{"a statement too long", func() error {
+			_, err := c.ExecuteUpdate(ctx(), strings.Repeat("x", maxStatement+1))
+			return err
+		}},
 		{"schema without a descriptor", func() error { _, err := c.Client.GetSchema(ctx(), nil); return err }},
 		{"fetch without a ticket", func() error { _, err := redeem(ctx(), c, &flight.Ticket{}); return err }},
 		{"fetch with garbage", func() error { _, err := redeem(ctx(), c, &flight.Ticket{Ticket: garbage}); return err }},
