--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"log/slog"
+	"slices"
 	"strings"
 	"testing"
 
@@ -157,3 +158,27 @@
 		t.Errorf("told %s, %d bad frames", diff, f.Counters.Bad)
 	}
 }
+
+// FuzzParseFrame feeds arbitrary frames: no crash, and each engine that is told of has an address and stands in a
+// place that the settings name.
+func FuzzParseFrame(f *testing.F) {
+	for _, body := range []string{head + "00", head + "01" + record, head + "02" + record + record, head + "02" + unknown} {
+		b, err := hex.DecodeString(body)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(b)
+	}
+	f.Fuzz(func(t *testing.T, b []byte) {
+		fr, err := parseFrame(b, names)
+		if err != nil {
+			return
+		}
+		for _, e := range fr.list.Events.Engines {
+			if _, ok := fr.list.Addrs[e.ID]; !ok || !slices.Contains(names.Zones, e.Zone) ||
+				!slices.Contains(names.Kinds, e.Kind) || e.Born < 0 {
+				t.Fatalf("%+v", e)
+			}
+		}
+	})
+}
--- a/internal/fetch/fetch_test.go
+++ b/internal/fetch/fetch_test.go
@@ -183,3 +183,25 @@
 		}
 	}
 }
+
+// FuzzParseResponse feeds arbitrary bytes of an engine: no crash, and what is taken lies within the bounds and
+// within the bytes, whichever way they were cut up on the road.
+func FuzzParseResponse(f *testing.F) {
+	f.Add("HTTP/1.1 200 OK\r\nX-Parts: 3\r\nContent-Length: 3\r\n\r\nabcX")
+	f.Add("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n1;x\r\nc\r\n0\r\n\r\n")
+	f.Add("HTTP/1.0 503 Full\r\nNot-Begun: 1\r\nConnection: close\r\nContent-Length: 0\r\n\r\n")
+	f.Fuzz(func(t *testing.T, text string) {
+		r, n, err := parseResponse([]byte(text))
+		switch {
+		case (r != nil) != (n > 0) || r != nil && err != nil || n > len(text):
+			t.Fatalf("response %v, length %d of %d, error %v", r, n, len(text), err)
+		case r == nil:
+			return
+		case len(r.body) > maxBody || len(r.body) > n:
+			t.Fatalf("a body of %d bytes out of %d", len(r.body), n)
+		}
+		if early, _, err := parseResponse([]byte(text[:n-1])); early != nil || err != nil {
+			t.Fatalf("without its last byte: %v, %v", early, err)
+		}
+	})
+}
