Name numbers out of range as the settings file names them

Seen: an example with goal-time-ns -1 was refused with "classes[0].aim", the module's term, which stands nowhere in the file. Checked: bad JSON types, addresses, phases and missing files were already named as they stand. At fault: only brain/validate.go looked at ranges. Two times in limits, of which the module is not told, were not looked at.

TestConfigNamesTheField has nine bad ones.

--- a/internal/settings/node_test.go
+++ b/internal/settings/node_test.go
@@ -28,3 +28,32 @@
 		}
 	}
 }
+
+// A number that makes no sense is named as the file names it, not as the module does.
+func TestConfigNamesTheField(t *testing.T) {
+	good := `{"name":"n","listen":"127.0.0.1:1","board":"127.0.0.1:2","seed":"8c1f30d27a5be964",` +
+		`"limits":{"memory_mb":192,"sockets":1024},"settings":{"kinds":["k"],"balancers":2,"period-ns":5,` +
+		`"classes":[{"name":"a","goal-time-ns":3,"deadline-ns":5,"late-value":0.5}],"limits":{"conn-idle-ns":7},` +
+		`"rules":{"cold-from":0.3},"specifics":{"cores-by-kind":[8],"width-by-class":[2]}}}`
+	for _, k := range []struct{ from, to, want string }{
+		{`"balancers":2`, `"balancers":2`, ""},
+		{`"balancers":2`, `"balancers":-2`, "balancers"},
+		{`"period-ns":5`, `"period-ns":-5`, "period-ns"},
+		{`"goal-time-ns":3`, `"goal-time-ns":-3`, "classes[0].goal-time-ns"},
+		{`"goal-time-ns":3,`, ``, "classes[0].goal-time-ns"},
+		{`"late-value":0.5`, `"late-value":-1`, "classes[0].late-value"},
+		{`"conn-idle-ns":7`, `"conn-idle-ns":-7`, "limits.conn-idle-ns"},
+		{`"cold-from":0.3`, `"cold-from":-0.3`, "rules.cold-from"},
+		{`[8]`, `[-8]`, "specifics.cores-by-kind[0]"},
+		{`[2]`, `[2,2]`, "specifics.width-by-class"},
+	} {
+		n, err := ParseNode([]byte(strings.Replace(good, k.from, k.to, 1)))
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, err = n.Parsed.Config(n.SeedValue)
+		if (err == nil) != (k.want == "") || err != nil && !strings.HasPrefix(err.Error(), k.want) {
+			t.Errorf("%s: error %v, want %q", k.to, err, k.want)
+		}
+	}
+}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -107,8 +107,53 @@
 	return nil
 }
 
+// check names the first number that makes no sense. The module checks its own terms as well; here each stands
+// under the name that the person who wrote the file knows.
+func (s *Settings) check() error {
+	type number struct {
+		field string
+		v     float64
+	}
+	list := []number{{"balancers", float64(s.Balancers)}, {"period-ns", float64(s.PeriodNS)},
+		{"limits.attempts-cap", float64(s.Limits.AttemptsCap)},
+		{"limits.max-retry-after-ns", float64(s.Limits.MaxRetryAfter)},
+		{"limits.connect-timeout-ns", float64(s.Limits.ConnectTimeout)},
+		{"limits.conn-idle-ns", float64(s.Limits.ConnIdle)},
+		{"rules.ask-within-ns", float64(s.Rules.AskWithin)}, {"rules.cold-from", s.Rules.ColdFrom},
+		{"rules.cold-ns", float64(s.Rules.ColdNS)}, {"rules.overload-factor", s.Rules.OverloadFactor},
+		{"rules.overload-for-ns", float64(s.Rules.OverloadFor)}, {"rules.key-rest-ns", float64(s.Rules.KeyRest)},
+		{"rules.look-back-ns", float64(s.Rules.LookBack)}}
+	for i, c := range s.Classes {
+		at := fmt.Sprintf("classes[%d].", i)
+		if c.Goal == 0 || c.Deadline == 0 {
+			return fmt.Errorf("%sgoal-time-ns and %sdeadline-ns: both must be above 0", at, at)
+		}
+		list = append(list, number{at + "goal-time-ns", float64(c.Goal)}, number{at + "deadline-ns", float64(c.Deadline)},
+			number{at + "aim-stretch", c.Stretch}, number{at + "credit", c.Credit},
+			number{at + "late-value", c.LateValue}, number{at + "window-ns", float64(c.Window)})
+	}
+	for i, v := range s.Specifics.Width {
+		list = append(list, number{fmt.Sprintf("specifics.width-by-class[%d]", i), float64(v)})
+	}
+	for i, v := range s.Specifics.Cores {
+		list = append(list, number{fmt.Sprintf("specifics.cores-by-kind[%d]", i), v})
+	}
+	for i, v := range s.Specifics.MemoryMB {
+		list = append(list, number{fmt.Sprintf("specifics.kind-memory-mb[%d]", i), v})
+	}
+	for _, n := range list {
+		if n.v < 0 {
+			return fmt.Errorf("%s: %v is below 0", n.field, n.v)
+		}
+	}
+	return nil
+}
+
 // Config translates the settings; nonce seeds the random numbers.
 func (s *Settings) Config(nonce uint64) (brain.Config, error) {
+	if err := s.check(); err != nil {
+		return brain.Config{}, err
+	}
 	sp := &s.Specifics
 	n, k := len(s.Classes), len(s.Kinds)
 	for _, err := range []error{perItem("specifics.class-load", sp.Load, n),
