Bound the connections that loads take to engines over Flight SQL

Seen: reading client.go against the 1,024 descriptors: main reserves 64 for engines that speak Flight SQL, but each load dials a connection of its own and nothing counted them; shared ones stayed open for as long as gRPC likes. Ruled out: fetch, whose pool is bounded.

Now 32 loads have a connection at once and further ones wait, unwritten; one whose time ends in the wait never ran, and says so. Shared ones close after 10 s idle. TestConnectionsOfLoadsAreBounded shows both.

--- a/cmd/windflow/main.go
+++ b/cmd/windflow/main.go
@@ -34,8 +34,10 @@
 	// reserved descriptors are for the listener, the board, the log, the poller, and connections that stand
 	// twice for a moment while they pass from the system's dialer to the poller.
 	reserved = 64
-	// flightEngines are reserved for connections to engines that speak Flight SQL, where that is on.
+	// flightEngines are reserved for connections to engines that speak Flight SQL, where that is on: one shared
+	// one each, and up to flightLoads for what must not run twice.
 	flightEngines = 64
+	flightLoads   = 32
 	// graceMS is how long after SIGTERM requests may still come, in milliseconds; PROTOCOL says 600.
 	graceMS = 1000.0
 	// quietMS is how long nothing may have been open before the program ends after SIGTERM.
@@ -142,7 +144,7 @@
 		IdleMS: float64(cfg.Parsed.Limits.ConnIdle) / 1e6}, log)
 	clients.Other = r.client
 	if opts.flightSQL != "" {
-		r.flightClient = flightsql.NewClient(loop, connectTimeout, log)
+		r.flightClient = flightsql.NewClient(loop, connectTimeout, flightLoads, log)
 		for _, kind := range flight.EngineKinds {
 			clients.Kinds[kind] = r.flightClient
 		}
--- a/internal/flightsql/client.go
+++ b/internal/flightsql/client.go
@@ -9,6 +9,7 @@
 	"net"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"github.com/apache/arrow-go/v18/arrow/flight"
 	"github.com/apache/arrow-go/v18/arrow/flight/flightsql"
@@ -35,16 +36,21 @@
 	log            *slog.Logger
 	connectTimeout float64
 	shared         map[brain.EngineID]*grpc.ClientConn // for what may run twice
+	own            chan struct{}                       // holds one for each connection of what must not
 	Counters       ClientCounters
 }
 
 // ClientCounters count what was sent to engines.
 type ClientCounters struct{ Queries, Updates, Repeats, BadAnswers atomic.Int64 }
 
-// NewClient returns a client.
-func NewClient(loop *router.Loop, connectTimeoutMS float64, log *slog.Logger) *Client {
+// sharedIdle is how long a shared connection may be without a call before it is closed.
+const sharedIdle = 10 * time.Second
+
+// NewClient returns a client that keeps at most maxOwn connections of their own for what must not run twice;
+// further ones wait their turn, unwritten.
+func NewClient(loop *router.Loop, connectTimeoutMS float64, maxOwn int, log *slog.Logger) *Client {
 	return &Client{loop: loop, log: log, connectTimeout: connectTimeoutMS,
-		shared: map[brain.EngineID]*grpc.ClientConn{}}
+		shared: map[brain.EngineID]*grpc.ClientConn{}, own: make(chan struct{}, maxOwn)}
 }
 
 // Forget implements router.EngineClient.
@@ -123,7 +129,7 @@
 func dial(dialer func(context.Context, string) (net.Conn, error)) (*grpc.ClientConn, error) {
 	return grpc.NewClient("passthrough:///engine", grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(dialer), grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(), grpc.WithNoProxy(),
-		grpc.WithStatsHandler(watcher{}), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)))
+		grpc.WithIdleTimeout(sharedIdle), grpc.WithStatsHandler(watcher{}), grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)))
 }
 
 // carryOut runs one attempt to its end.
@@ -131,6 +137,12 @@
 	if call.Once {
 		// What must not run twice gets a connection of its own, dialled here: only so is a refused connection
 		// seen as such, and nothing can move the call to another connection.
+		select {
+		case c.own <- struct{}{}:
+			defer func() { <-c.own }()
+		case <-ctx.Done():
+			return router.End{Outcome: brain.ConnectFailed, Detail: "no connection came free: " + ctx.Err().Error()}
+		}
 		d := net.Dialer{Timeout: clock.Duration(c.connectTimeout)}
 		raw, err := d.DialContext(ctx, "tcp", call.Engine.Addr)
 		if err != nil {
--- a/internal/flightsql/client_test.go
+++ b/internal/flightsql/client_test.go
@@ -93,7 +93,7 @@
 
 func attemptAt(addr string, once bool) router.End {
 	loop := router.NewLoop(clock.NewSystem())
-	c := NewClient(loop, 5000, slog.New(slog.DiscardHandler))
+	c := NewClient(loop, 5000, 4, slog.New(slog.DiscardHandler))
 	defer routertest.Run(loop)()
 	engine := router.Engine{ID: 7, Addr: addr}
 	ended := make(chan router.End, 1)
@@ -200,3 +200,52 @@
 		}
 	}
 }
+
+// Loads have a bound on their connections. One that finds none free within its time was never written, which
+// proves that it did not run; the next one is carried out once a connection is free.
+func TestConnectionsOfLoadsAreBounded(t *testing.T) {
+	release := make(chan struct{})
+	runs := make(chan struct{}, 9)
+	e := &rawEngine{put: func(s flight.FlightService_DoPutServer) error {
+		if _, err := s.Recv(); err != nil {
+			return err
+		}
+		runs <- struct{}{}
+		<-release
+		return s.Send(&flight.PutResult{AppMetadata: []byte{8, 5}})
+	}}
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := grpc.NewServer()
+	flight.RegisterFlightServiceServer(s, e)
+	go func() { _ = s.Serve(lis) }()
+	defer s.Stop()
+	loop := router.NewLoop(clock.NewSystem())
+	c := NewClient(loop, 5000, 1, slog.New(slog.DiscardHandler))
+	defer routertest.Run(loop)()
+	start := func(waitMS float64) chan router.End {
+		ended := make(chan router.End, 1)
+		loop.Post(func() {
+			c.Start(router.Call{Engine: router.Engine{ID: 7, Addr: lis.Addr().String()}, ID: "9b1f03aa5c7e2d41",
+				Statement: "S", WaitMS: waitMS, Once: true}, func(e router.End) { ended <- e })
+		})
+		return ended
+	}
+	first := start(20_000)
+	<-runs
+	if end := <-start(50); end.Outcome != brain.ConnectFailed {
+		t.Errorf("without a free connection: %v (%s)", end.Outcome, end.Detail)
+	}
+	third := start(20_000)
+	close(release)
+	for _, ended := range []chan router.End{first, third} {
+		if end := <-ended; end.Outcome != brain.Served {
+			t.Errorf("outcome %v (%s)", end.Outcome, end.Detail)
+		}
+	}
+	if len(runs) != 1 {
+		t.Errorf("%d runs after the first, want 1", len(runs))
+	}
+}
