--- a/internal/flightsql/client_test.go
+++ b/internal/flightsql/client_test.go
@@ -189,13 +189,9 @@
 
 // A refused connection proves that nothing ran, for a load too.
 func TestRefusedConnection(t *testing.T) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	_ = lis.Close()
+	addr := routertest.Refused(t, [4]byte{127, 0, 0, 1})
 	for _, once := range []bool{true, false} {
-		if end := attemptAt(lis.Addr().String(), once); end.Outcome != brain.ConnectFailed {
+		if end := attemptAt(addr, once); end.Outcome != brain.ConnectFailed {
 			t.Errorf("once %v: outcome %v (%s)", once, end.Outcome, end.Detail)
 		}
 	}
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -48,12 +48,7 @@
 // it as open and, for IPv4, connects to 0.0.0.0.
 func TestDial(t *testing.T) {
 	n, loop := newNet(t, "", nil)
-	free, err := net.Listen("tcp", "127.0.0.2:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	addr := free.Addr().String()
-	_ = free.Close()
+	addr := routertest.Refused(t, [4]byte{127, 0, 0, 2})
 	h := newTap()
 	loop.Post(func() { n.Dial(addr, 5000, h) })
 	if err := <-h.closed; !errors.Is(err, ErrNotConnected) || !errors.Is(err, syscall.ECONNREFUSED) {
@@ -95,20 +90,21 @@
 func (r records) WithAttrs([]slog.Attr) slog.Handler        { return r }
 func (r records) WithGroup(string) slog.Handler             { return r }
 
-// A Net that is stopped right after its start stops: its address is free again, nothing is logged, and the
-// next one may take over the log. It guards against nbio's acceptor, which lost such a stop, went on for ever
-// on the closed listener, and read the logger while the next Net wrote it.
+// A Net that is stopped right after its start stops: its listener is closed, nothing is logged, and the next one
+// may take over the log. It guards against nbio's acceptor, which lost such a stop, went on for ever on the closed
+// listener, and read the logger while the next Net wrote it.
 func TestStopRightAfterStart(t *testing.T) {
 	var logged atomic.Int64
-	listen := "127.0.0.1:0"
 	for i := range 4 {
 		log := slog.New(records{slog.DiscardHandler, &logged})
-		n, err := New(router.NewLoop(clock.NewSystem()), listen, func() Handler { return newTap() }, log)
+		n, err := New(router.NewLoop(clock.NewSystem()), "127.0.0.1:0", func() Handler { return newTap() }, log)
 		if err != nil {
 			t.Fatalf("start %d: %v", i, err)
 		}
-		listen = n.Addr()
 		n.Stop()
+		if _, err := n.listener.Accept(); !errors.Is(err, net.ErrClosed) {
+			t.Errorf("the listener after the stop: %v", err)
+		}
 	}
 	if got := logged.Load(); got != 0 {
 		t.Errorf("%d records were logged", got)
--- a/internal/routertest/routertest.go
+++ b/internal/routertest/routertest.go
@@ -3,9 +3,11 @@
 
 import (
 	"flag"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 	"testing"
 
 	"github.com/google/go-cmp/cmp"
@@ -64,3 +66,22 @@
 		<-ended
 	}
 }
+
+// Refused gives an address at which connections are refused for as long as the test runs: a socket that is bound
+// to it and does not listen. One that has merely been free may be taken by another program before it is dialled.
+func Refused(t *testing.T, ip [4]byte) string {
+	t.Helper()
+	fd, err := syscall.Socket(syscall.AF_INET, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = syscall.Close(fd) })
+	if err := syscall.Bind(fd, &syscall.SockaddrInet4{Addr: ip}); err != nil {
+		t.Fatal(err)
+	}
+	name, err := syscall.Getsockname(fd)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return netip.AddrPortFrom(netip.AddrFrom4(ip), uint16(name.(*syscall.SockaddrInet4).Port)).String()
+}
