Reload the configuration on SIGHUP and follow the board to a new address

Checked: 129 is 128 + SIGHUP; cmd/windflow/main.go registered SIGTERM, SIGINT and SIGUSR1 only, so the signal's default ended the process. Ruled out: a panic, nothing stood in the log.

Now SIGHUP has the file read again, outside the loop; a file that can't be used is logged with its field and changes nothing. The board's follower goes to a new address from its last event at once, with no second link beside it; sessions, pools, time limits, the core and the module take changed settings, and the log names what stays until a restart. Signals are registered before the file is read. The board counts as silent after 1.8 s, not 2.5: what it would have told counts as told 4 s after its stop, and a dial and the drain's own second come after.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -130,11 +130,7 @@
 	e := c.byID[entry.ID]
 	if e == nil {
 		e = &engine{Engine: entry, cores: max(entry.Size, 1), loadUntil: map[int64]time.Duration{}, slow: 1}
-		for _, k := range c.cfg.Kinds {
-			if k.Name == entry.Kind && k.Cores > 0 {
-				e.cores, e.memory = k.Cores, k.MemoryMB
-			}
-		}
+		c.equip(e)
 		c.byID[entry.ID] = e
 		c.engines = append(c.engines, e)
 		if entry.Born == 0 && !first {
--- a/brain/state.go
+++ b/brain/state.go
@@ -4,7 +4,9 @@
 	"cmp"
 	"math"
 	"math/rand/v2"
+	"reflect"
 	"slices"
+	"strconv"
 	"time"
 )
 
@@ -144,18 +146,76 @@
 		cl := &class{Class: k, estMean: 1, grantFix: 1, mean: firstGuess(k)}
 		cl.best = cl.mean
 		c.classes = append(c.classes, cl)
-		if c.prefer == nil || k.Aim < c.prefer.Aim {
+	}
+	c.derive()
+	return c, nil
+}
+
+// derive sets what follows from the settings.
+func (c *Controller) derive() {
+	c.prefer = c.classes[0]
+	for _, cl := range c.classes {
+		if cl.Aim < c.prefer.Aim {
 			c.prefer = cl
 		}
 	}
 	for _, cl := range c.classes {
 		cl.ratio = cl.Aim.Seconds() / c.prefer.Aim.Seconds()
 	}
-	for _, t := range cfg.Tenants {
-		c.tenants[t.Name] = &tenant{quota: t.Quota}
+	before := c.tenants
+	c.tenants, c.quotas = map[string]*tenant{}, 0
+	for _, t := range c.cfg.Tenants {
+		c.tenants[t.Name] = &tenant{}
+		if old := before[t.Name]; old != nil {
+			c.tenants[t.Name] = old // its tokens go on
+		}
+		c.tenants[t.Name].quota = t.Quota
 		c.quotas += t.Quota
 	}
-	return c, nil
+}
+
+// Configure has a running controller go by changed settings and returns those in force. What is held,
+// running and learned stays. Open requests belong to their classes, so these must stay the same ones, of the
+// same effect and shape; what is kept for that is named. An error says that nothing changed.
+func (c *Controller) Configure(cfg Config) (now Config, kept []string, err error) {
+	if err := validate(cfg); err != nil {
+		return c.cfg, nil, err
+	}
+	named := func(k Class, cl *class) bool { return k.Name == cl.Name }
+	if !slices.EqualFunc(cfg.Classes, c.classes, named) {
+		kept, cfg.Classes = append(kept, "classes"), c.cfg.Classes
+	}
+	cfg.Classes = slices.Clone(cfg.Classes)
+	for i, cl := range c.classes {
+		k := &cfg.Classes[i]
+		shape := *k
+		k.Semantics, k.Scope, k.OrderByKey = cl.Semantics, cl.Scope, cl.OrderByKey
+		k.Threads, k.Load, k.WaitsOnLoad = cl.Threads, cl.Load, cl.WaitsOnLoad
+		if shape.Threads = max(shape.Threads, 1); !reflect.DeepEqual(shape, *k) {
+			kept = append(kept, "classes["+strconv.Itoa(i)+"]: effect, order, threads, load or wait")
+		}
+		cl.Class = *k
+	}
+	if cfg.AskedDiscovery != c.cfg.AskedDiscovery {
+		kept, cfg.AskedDiscovery = append(kept, "discovery"), c.cfg.AskedDiscovery
+	}
+	cfg.Seed, cfg.Instance = c.cfg.Seed, c.cfg.Instance // the random source was made of them
+	c.cfg = cfg
+	c.derive()
+	for _, e := range c.engines {
+		c.equip(e)
+	}
+	c.relist()
+	return cfg, kept, nil
+}
+
+// equip gives an engine what its kind has.
+func (c *Controller) equip(e *engine) {
+	for _, k := range c.cfg.Kinds {
+		if k.Name == e.Kind && k.Cores > 0 {
+			e.cores, e.memory = k.Cores, k.MemoryMB
+		}
+	}
 }
 
 // Handle takes one event and appends what is to be done. Time never goes back.
--- a/cmd/windflow/main.go
+++ b/cmd/windflow/main.go
@@ -68,6 +68,9 @@
 	if path == "" {
 		return errors.New("PROXY_CONFIG: the path of the configuration is not set")
 	}
+	// Heard from the first on: a signal that comes before the router is ready waits, where its default would end it.
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
 	cfg, err := settings.ReadNode(path)
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
@@ -82,10 +85,12 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
 	go func() {
 		for s := range signals {
+			if s == syscall.SIGHUP {
+				r.reload(path) // reads the file here: the loop may not wait for a disk
+				continue
+			}
 			r.loop.Post(func() { r.signal(s) })
 		}
 	}()
@@ -117,34 +122,27 @@
 			return nil, err
 		}
 	}
-	sockets := cfg.Limits.Sockets
-	if sockets <= reserved*2 {
-		sockets = 1024
-	}
 	loop := router.NewLoop(clock.NewSystem())
-	r := &node{log: log, loop: loop, stop: make(chan struct{})}
-	connectTimeout := float64(cfg.Parsed.Limits.ConnectTimeout) / 1e6
+	r := &node{log: log, cfg: cfg, loop: loop, stop: make(chan struct{})}
+	if opts.flightSQL != "" {
+		r.flightConns = flight.MaxConnections + flightEngines
+	}
+	b, err := boundsOf(cfg, r.flightConns)
+	if err != nil {
+		return nil, err
+	}
 	clients := &router.ByKind{Kinds: map[string]router.EngineClient{}}
 	if r.core, err = router.New(loop, decisions, clients, log); err != nil {
 		return nil, fmt.Errorf("field settings: %w", err)
 	}
-	sessions := int(sessionShare * float64(sockets))
-	engineConns := sockets - sessions - reserved
-	if opts.flightSQL != "" {
-		engineConns -= flight.MaxConnections + flightEngines
-	}
-	if engineConns < 16 {
-		return nil, fmt.Errorf("field limits.sockets: %d leaves no connections for engines", sockets)
-	}
-	r.front = mysql.NewFront(r.core, loop, sessions, r.status, log)
+	r.front = mysql.NewFront(r.core, loop, b.sessions, r.status, log)
 	if r.net, err = netio.New(loop, cfg.Listen, r.front.Accept, log); err != nil {
 		return nil, fmt.Errorf("field listen: %w", err)
 	}
-	r.client = fetch.New(loop, r.net, fetch.Config{MaxConns: engineConns, ConnectTimeoutMS: connectTimeout,
-		IdleMS: float64(cfg.Parsed.Limits.ConnIdle) / 1e6}, log)
+	r.client = fetch.New(loop, r.net, b.fetch, log)
 	clients.Other = r.client
 	if opts.flightSQL != "" {
-		r.flightClient = flightsql.NewClient(loop, connectTimeout, flightLoads, log)
+		r.flightClient = flightsql.NewClient(loop, b.fetch.ConnectTimeoutMS, flightLoads, log)
 		for _, kind := range flight.EngineKinds {
 			clients.Kinds[kind] = r.flightClient
 		}
@@ -156,8 +154,7 @@
 	}
 	// The poller is up and may have posted connections; they are handled when the loop runs, after this.
 	r.core.Engines(known.Events, known.Addrs)
-	names := board.Names{Zones: cfg.Parsed.Zones, Kinds: cfg.Parsed.Kinds}
-	r.board = board.Follow(loop, r.net, cfg.Board, names, last,
+	r.board = board.Follow(loop, r.net, cfg.Board, namesOf(cfg), last,
 		func(l board.List) { r.core.Engines(l.Events, l.Addrs) }, log)
 	if opts.bgp != "" {
 		r.bgp = bgp.Start(loop, r.net, neighbour, log)
@@ -174,6 +171,32 @@
 	r.net.Stop()
 }
 
+// bounds are what a configuration gives each part of the program.
+type bounds struct {
+	sessions int
+	fetch    fetch.Config
+}
+
+// boundsOf divides the descriptors; taken are those of parts that the configuration does not name.
+func boundsOf(cfg *settings.Node, taken int) (bounds, error) {
+	sockets := cfg.Limits.Sockets
+	if sockets <= reserved*2 {
+		sockets = 1024
+	}
+	b := bounds{sessions: int(sessionShare * float64(sockets))}
+	b.fetch = fetch.Config{MaxConns: sockets - b.sessions - reserved - taken,
+		ConnectTimeoutMS: float64(cfg.Parsed.Limits.ConnectTimeout) / 1e6,
+		IdleMS:           float64(cfg.Parsed.Limits.ConnIdle) / 1e6}
+	if b.fetch.MaxConns < 16 {
+		return b, fmt.Errorf("field limits.sockets: %d leaves no connections for engines", sockets)
+	}
+	return b, nil
+}
+
+func namesOf(cfg *settings.Node) board.Names {
+	return board.Names{Zones: cfg.Parsed.Zones, Kinds: cfg.Parsed.Kinds}
+}
+
 // limit keeps the runtime within what the deployment gives.
 func limit(cfg *settings.Node) {
 	if cfg.Limits.Cores > 0 {
@@ -187,6 +210,8 @@
 // node is the running program; all of it belongs to the loop's goroutine.
 type node struct {
 	log          *slog.Logger
+	cfg          *settings.Node // in force
+	flightConns  int            // descriptors set aside for Flight SQL
 	loop         *router.Loop
 	net          *netio.Net
 	core         *router.Core
@@ -202,6 +227,58 @@
 	busyAt       float64
 }
 
+// reload reads the configuration again and hands it to the loop. A file that can't be used changes nothing.
+func (r *node) reload(path string) {
+	cfg, err := settings.ReadNode(path)
+	r.loop.Post(func() {
+		if err == nil {
+			err = r.configure(cfg)
+		}
+		if err != nil {
+			r.log.Error("reload refused", "file", path, "err", err)
+		}
+	})
+}
+
+// configure puts another configuration in force, whole or, where it can't be used, not at all. Open requests,
+// sessions and connections are not touched. What can't change while running keeps its value, and the log names it.
+func (r *node) configure(cfg *settings.Node) error {
+	decisions, err := cfg.Parsed.Config(r.cfg.SeedValue)
+	if err != nil {
+		return fmt.Errorf("field settings: %w", err)
+	}
+	b, err := boundsOf(cfg, r.flightConns)
+	if err != nil {
+		return err
+	}
+	kept, err := r.core.Configure(decisions)
+	if err != nil {
+		return fmt.Errorf("field settings: %w", err)
+	}
+	for _, f := range []struct {
+		name    string
+		old     string
+		changed *string
+	}{{"name", r.cfg.Name, &cfg.Name}, {"listen", r.cfg.Listen, &cfg.Listen}} {
+		if f.old != *f.changed {
+			kept, *f.changed = append(kept, f.name), f.old
+		}
+	}
+	limit(cfg)
+	r.front.Configure(b.sessions)
+	r.client.Configure(b.fetch)
+	if r.flightClient != nil {
+		r.flightClient.Configure(b.fetch.ConnectTimeoutMS)
+	}
+	r.board.Configure(cfg.Board, namesOf(cfg))
+	r.cfg = cfg
+	r.log.Info("reloaded", "board", cfg.Board, "sockets", cfg.Limits.Sockets, "memory_mb", cfg.Limits.MemoryMB)
+	if len(kept) > 0 {
+		r.log.Warn("unchanged until a restart", "fields", kept)
+	}
+	return nil
+}
+
 func (r *node) signal(s os.Signal) {
 	if s == syscall.SIGUSR1 {
 		r.printCounters("counters")
--- /dev/null
+++ b/cmd/windflow/reload_test.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+
+	"windflow/internal/settings"
+)
+
+// listenBoard is a notice board that hands over each link once it has read from which event it goes on.
+func listenBoard(t *testing.T) (addr string, links chan boardLink) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	links = make(chan boardLink, 8)
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			var last [8]byte
+			if _, err := io.ReadFull(c, last[:]); err == nil {
+				links <- boardLink{c, binary.BigEndian.Uint64(last[:])}
+			}
+		}
+	}()
+	return l.Addr().String(), links
+}
+
+type boardLink struct {
+	net.Conn
+	last uint64
+}
+
+func writeConfig(t *testing.T, path, board, settings string) {
+	t.Helper()
+	text := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","seed":"1f","limits":{"cores":1,"memory_mb":192,
+		"sockets":1024},"board":"%s","known":{"rev":1,"notices":[]},"settings":%s}`, board, settings)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// SIGHUP has the program read its file again: it goes on at the board's new address from the last event that it
+// has, and neither a file that can't be used nor the signal itself ends it.
+func TestReloadFollowsTheBoard(t *testing.T) {
+	oldAddr, oldLinks := listenBoard(t)
+	newAddr, newLinks := listenBoard(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	writeConfig(t, path, oldAddr, mixedSettings)
+	t.Setenv("PROXY_CONFIG", path)
+	ended := make(chan error, 1)
+	go func() { ended <- run(options{}) }()
+	hup := func() {
+		t.Helper()
+		if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+			t.Fatal(err)
+		}
+	}
+	first := <-oldLinks
+	defer first.Close()
+	writeConfig(t, path, "nowhere", mixedSettings)
+	hup()
+	// Event 2 comes on the old link, the beginning of event 3 too; the new board must be asked from 2.
+	event := func(n byte) []byte { return []byte{0, 0, 0, 9, 0, 0, 0, 0, 0, 0, 0, n, 2} }
+	if _, err := first.Write(append(event(2), event(3)[:7]...)); err != nil {
+		t.Fatal(err)
+	}
+	// A frame of no known kind ends a link, so that the next one shows that event 2 has been read.
+	second := func() boardLink {
+		if _, err := first.Write(event(3)[7:12]); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := first.Write([]byte{9}); err != nil { // kind 9 of event 3
+			t.Fatal(err)
+		}
+		return <-oldLinks
+	}()
+	defer second.Close()
+	if second.last != 2 {
+		t.Errorf("after a bad frame the old board was asked from event %d", second.last)
+	}
+	writeConfig(t, path, newAddr, mixedSettings)
+	hup()
+	third := <-newLinks
+	defer third.Close()
+	if third.last != 2 {
+		t.Errorf("the new board was asked from event %d", third.last)
+	}
+	if _, err := second.Read(make([]byte, 1)); err == nil {
+		t.Error("the link to the old board stayed open")
+	}
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
+
+// Changed settings reach those that go by them; what can't be used changes nothing, and what can't change while
+// running is named in the log.
+func TestConfigure(t *testing.T) {
+	n := startRouter(t, nil)
+	var log strings.Builder
+	configure := func(text string) (err error) {
+		t.Helper()
+		cfg, err := settings.ParseNode([]byte(text))
+		if err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan struct{})
+		n.loop.Post(func() {
+			n.log = slog.New(slog.NewTextHandler(&log, nil))
+			err = n.configure(cfg)
+			close(done)
+		})
+		<-done
+		return err
+	}
+	text := func(sockets int, settings string) string {
+		return fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:1","limits":{"cores":1,"memory_mb":192,"sockets":%d},
+			"board":"127.0.0.1:1","settings":%s}`, sockets, settings)
+	}
+	if err := configure(text(1024, strings.Replace(mixedSettings, `"goal-time-ns":3000000000`,
+		`"goal-time-ns":-1`, 1))); err == nil || !strings.Contains(err.Error(), "classes[1].goal-time-ns") {
+		t.Errorf("a time below zero: %v", err)
+	}
+	if err := configure(text(160, mixedSettings)); err == nil || !strings.Contains(err.Error(), "limits.sockets") {
+		t.Errorf("too few descriptors: %v", err)
+	}
+	if n.cfg.Listen == "127.0.0.1:1" || log.Len() > 0 {
+		t.Errorf("a refused reload left traces: %s", log.String())
+	}
+	better := strings.Replace(mixedSettings, `"attempts-cap":5`, `"attempts-cap":1`, 1)
+	if err := configure(text(1024, strings.Replace(better, "at_most_once", "idempotent", 1))); err != nil {
+		t.Error(err)
+	}
+	for _, want := range []string{"reloaded", "classes[1]: effect", "listen"} {
+		if !strings.Contains(log.String(), want) {
+			t.Errorf("the log does not tell of %q: %s", want, log.String())
+		}
+	}
+	if load, _ := n.core.Class("load"); load.Semantics != 2 {
+		t.Errorf("a reload made loads repeatable: %+v", load)
+	}
+	if now, _ := n.core.Class("lookup"); now.Name != "lookup" {
+		t.Errorf("class lookup is now %+v", now)
+	}
+}
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -31,9 +31,10 @@
 	kindChanges = 2
 
 	dialTimeout = 250.0
-	// silence is how long the board may say nothing, in milliseconds, before the link counts as dead: it
-	// sends a frame each second.
-	silence = 2500.0
+	// silence is how long the board may say nothing, in milliseconds, before the link counts as dead: it sends a
+	// frame each second. What a board that has stopped would have told counts as told 4 s after its stop, so
+	// that there must be time left to dial again.
+	silence = 1800.0
 	// redialLeast and redialMost are the wait before the link is opened again: it doubles while that fails.
 	redialLeast, redialMost = 100.0, 500.0
 	// maxStart bounds the start of an engine, in Unix milliseconds, to what a time.Duration can hold.
@@ -179,7 +180,8 @@
 	tell   func(List)
 	log    *slog.Logger
 	link   *link
-	redial float64 // the next wait; redialLeast while the link is up
+	redial float64       // the next wait; redialLeast while the link is up
+	again  *router.Timer // opens the next link; nil or spent while there is one
 
 	Counters Counters
 }
@@ -196,6 +198,21 @@
 	return f
 }
 
+// Configure has the follower read records by other names and, where the address is a new one, follow there at
+// once, from the last event on. Whatever the old board still sends is not heard any more: its numbers go on at the
+// new one, so that an event from either is told once.
+func (f *Follower) Configure(addr string, names Names) {
+	f.names = names
+	if addr == f.addr {
+		return
+	}
+	f.log.Info("board moved", "from", f.addr, "to", addr, "last", f.last)
+	f.addr, f.redial = addr, redialLeast
+	f.again.Stop() // else a link that was to be opened again would stand beside the new one
+	f.link.drop()
+	f.open()
+}
+
 func (f *Follower) open() {
 	f.Counters.Links++
 	f.link = &link{f: f}
@@ -221,6 +238,10 @@
 
 func (l *link) Opened(c netio.Conn) {
 	l.conn = c
+	if l.done {
+		c.Close()
+		return
+	}
 	c.Write(binary.BigEndian.AppendUint64(nil, l.f.last))
 }
 
@@ -283,16 +304,21 @@
 	if l.done {
 		return
 	}
-	l.done = true
-	l.timer.Stop()
+	l.drop()
 	level := slog.LevelWarn
 	if !l.heard && l.f.redial > redialLeast {
 		level = slog.LevelDebug // the first failure was logged; the next good link is
 	}
 	l.f.log.Log(context.Background(), level, "board link ended", "why", why, "last", l.f.last)
-	l.conn.Close()
-	l.f.loop.After(l.f.redial, l.f.open)
+	l.f.again = l.f.loop.After(l.f.redial, l.f.open)
 	if !l.heard {
 		l.f.redial = min(2*l.f.redial, redialMost)
 	}
 }
+
+// drop closes the link; nothing that comes on it counts any more.
+func (l *link) drop() {
+	l.done = true
+	l.timer.Stop()
+	l.conn.Close()
+}
--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -59,13 +59,20 @@
 
 // New returns a client.
 func New(loop *router.Loop, dialer netio.Dialer, cfg Config, log *slog.Logger) *Client {
-	c := &Client{loop: loop, dialer: dialer, log: log, connectTimeout: cfg.ConnectTimeoutMS,
-		idleFor: min(cfg.IdleMS/2, 10_000)}
-	c.pool = &pool{client: c, max: cfg.MaxConns, idle: map[brain.EngineID][]*conn{}}
+	c := &Client{loop: loop, dialer: dialer, log: log}
+	c.pool = &pool{client: c, idle: map[brain.EngineID][]*conn{}}
+	c.Configure(cfg)
 	c.sweep()
 	return c
 }
 
+// Configure has the client go by other bounds from now on; calls that are under way go on.
+func (c *Client) Configure(cfg Config) {
+	c.connectTimeout, c.idleFor = cfg.ConnectTimeoutMS, min(cfg.IdleMS/2, 10_000)
+	c.pool.max = cfg.MaxConns
+	c.pool.next()
+}
+
 func (c *Client) sweep() {
 	c.pool.sweep()
 	c.loop.After(1000, c.sweep)
--- a/internal/flightsql/client.go
+++ b/internal/flightsql/client.go
@@ -34,7 +34,7 @@
 type Client struct {
 	loop           *router.Loop
 	log            *slog.Logger
-	connectTimeout float64
+	connectTimeout atomic.Int64                        // a time.Duration; dials read it in goroutines of their own
 	shared         map[brain.EngineID]*grpc.ClientConn // for what may run twice
 	own            chan struct{}                       // holds one for each connection of what must not
 	Counters       ClientCounters
@@ -49,8 +49,14 @@
 // NewClient returns a client that keeps at most maxOwn connections of their own for what must not run twice;
 // further ones wait their turn, unwritten.
 func NewClient(loop *router.Loop, connectTimeoutMS float64, maxOwn int, log *slog.Logger) *Client {
-	return &Client{loop: loop, log: log, connectTimeout: connectTimeoutMS,
-		shared: map[brain.EngineID]*grpc.ClientConn{}, own: make(chan struct{}, maxOwn)}
+	c := &Client{loop: loop, log: log, shared: map[brain.EngineID]*grpc.ClientConn{}, own: make(chan struct{}, maxOwn)}
+	c.Configure(connectTimeoutMS)
+	return c
+}
+
+// Configure has the client dial within another time from now on.
+func (c *Client) Configure(connectTimeoutMS float64) {
+	c.connectTimeout.Store(int64(clock.Duration(connectTimeoutMS)))
 }
 
 // Forget implements router.EngineClient.
@@ -117,7 +123,7 @@
 		return conn, nil
 	}
 	conn, err := dial(func(ctx context.Context, _ string) (net.Conn, error) {
-		d := net.Dialer{Timeout: clock.Duration(c.connectTimeout)}
+		d := net.Dialer{Timeout: time.Duration(c.connectTimeout.Load())}
 		return d.DialContext(ctx, "tcp", e.Addr)
 	})
 	if err == nil {
@@ -143,7 +149,7 @@
 		case <-ctx.Done():
 			return router.End{Outcome: brain.ConnectFailed, Detail: "no connection came free: " + ctx.Err().Error()}
 		}
-		d := net.Dialer{Timeout: clock.Duration(c.connectTimeout)}
+		d := net.Dialer{Timeout: time.Duration(c.connectTimeout.Load())}
 		raw, err := d.DialContext(ctx, "tcp", call.Engine.Addr)
 		if err != nil {
 			return router.End{Outcome: brain.ConnectFailed, Detail: err.Error()}
--- a/internal/mysql/session.go
+++ b/internal/mysql/session.go
@@ -39,6 +39,9 @@
 	return &Front{core: core, loop: loop, max: max, status: status, log: log, sessions: map[uint32]*session{}}
 }
 
+// Configure has the front keep at most max sessions from now on; those that are open stay.
+func (f *Front) Configure(max int) { f.max = max }
+
 // Accept gives the handler of a new connection.
 func (f *Front) Accept() netio.Handler { return &session{front: f} }
 
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"slices"
 	"strconv"
+	"sync/atomic"
 
 	"windflow/brain"
 	"windflow/internal/clock"
@@ -136,8 +137,8 @@
 	module   *brain.Controller
 	client   EngineClient
 	log      *slog.Logger
-	classes  map[string]brain.Class
-	max      int // attempts for a request
+	classes  atomic.Pointer[map[string]brain.Class] // Class reads it from any goroutine
+	max      int                                    // attempts for a request
 	engines  map[brain.EngineID]Engine
 	requests map[brain.RequestID]*request
 	byID     map[string]*request // the open ones, by the client's id
@@ -153,19 +154,35 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Core{loop: loop, module: module, client: client, log: log, classes: map[string]brain.Class{},
-		max: cfg.MaxAttempts, engines: map[brain.EngineID]Engine{}, requests: map[brain.RequestID]*request{},
-		byID: map[string]*request{}}
-	for _, k := range cfg.Classes {
-		c.classes[k.Name] = k
-	}
+	c := &Core{loop: loop, module: module, client: client, log: log, engines: map[brain.EngineID]Engine{},
+		requests: map[brain.RequestID]*request{}, byID: map[string]*request{}}
+	c.use(cfg)
 	loop.Settle = c.settle
 	return c, nil
 }
 
+// Configure has the core and the module go by changed settings. Requests that are open are not touched. It names
+// what stays as it was because it can't change while running; an error says that nothing changed.
+func (c *Core) Configure(cfg brain.Config) (kept []string, err error) {
+	now, kept, err := c.module.Configure(cfg)
+	if err == nil {
+		c.use(now)
+	}
+	return kept, err
+}
+
+func (c *Core) use(cfg brain.Config) {
+	classes := map[string]brain.Class{}
+	for _, k := range cfg.Classes {
+		classes[k.Name] = k
+	}
+	c.classes.Store(&classes)
+	c.max = cfg.MaxAttempts
+}
+
 // Class gives a class of the settings; it may be called from anywhere.
 func (c *Core) Class(name string) (brain.Class, bool) {
-	k, ok := c.classes[name]
+	k, ok := (*c.classes.Load())[name]
 	return k, ok
 }
 
@@ -180,7 +197,7 @@
 
 // Submit takes a request in. An error says that it was malformed and is owed nothing.
 func (c *Core) Submit(q *Request, asker Asker) (Handle, error) {
-	class, ok := c.classes[q.Class]
+	class, ok := c.Class(q.Class)
 	if !ok {
 		c.Counters.Malformed++
 		return Handle{}, fmt.Errorf("field %s: unknown class %q", FieldClass, clip(q.Class))
@@ -361,8 +378,9 @@
 		return
 	}
 	c.Counters.Sends++
+	class, _ := c.Class(r.Class)
 	a.call = c.client.Start(Call{Engine: engine, ID: r.ID, Class: r.Class, Statement: r.Statement, WaitMS: wait,
-		GrantMB: r.grant, Priority: r.priority, Update: r.Update, Once: c.classes[r.Class].Semantics != brain.Idempotent},
+		GrantMB: r.grant, Priority: r.priority, Update: r.Update, Once: class.Semantics != brain.Idempotent},
 		func(e End) { c.ended(a, e) })
 	a.timeout = c.loop.At(now+wait, func() { c.ended(a, End{Outcome: brain.TimedOut, Detail: "no answer in time"}) })
 }
