Give sessions time limits and evict silent ones, so that usual clients find room

Checked: of 1,374 bad clients and 1,728 that ask once and stay, each held one of the 153 sessions for as long as it liked; internal/mysql/session.go had no timer, and Opened refused every newcomer past the bound. Ruled out: descriptors (221 of 384) and CPU (0.1 s a second).

Now a session has 2.2 s for its login and first command and 2 s for a packet that has begun, and may be idle for 10 s. At the bound a newcomer takes the place of the oldest that has not logged in, else of the one idle longest. The buffers of all sessions have one bound that follows the memory. An error that ends a session is followed by a Linger: with unread input a close resets the connection and may take the error away. No more than 16 connections are accepted ahead of the loop, so that a flood stays within the descriptors.

--- a/cmd/windflow/main.go
+++ b/cmd/windflow/main.go
@@ -135,10 +135,11 @@
 	if r.core, err = router.New(loop, decisions, clients, log); err != nil {
 		return nil, fmt.Errorf("field settings: %w", err)
 	}
-	r.front = mysql.NewFront(r.core, loop, b.sessions, r.status, log)
+	r.front = mysql.NewFront(r.core, loop, b.mysql, r.status, log)
 	if r.net, err = netio.New(loop, cfg.Listen, r.front.Accept, log); err != nil {
 		return nil, fmt.Errorf("field listen: %w", err)
 	}
+	r.net.SetMaxInbound(b.inbound)
 	r.client = fetch.New(loop, r.net, b.fetch, log)
 	clients.Other = r.client
 	if opts.flightSQL != "" {
@@ -173,8 +174,9 @@
 
 // bounds are what a configuration gives each part of the program.
 type bounds struct {
-	sessions int
-	fetch    fetch.Config
+	inbound int // bytes read and not yet handled
+	mysql   mysql.Config
+	fetch   fetch.Config
 }
 
 // boundsOf divides the descriptors; taken are those of parts that the configuration does not name.
@@ -183,8 +185,13 @@
 	if sockets <= reserved*2 {
 		sockets = 1024
 	}
-	b := bounds{sessions: int(sessionShare * float64(sockets))}
-	b.fetch = fetch.Config{MaxConns: sockets - b.sessions - reserved - taken,
+	memory := cfg.Limits.MemoryMB << 20
+	if memory == 0 {
+		memory = 192 << 20
+	}
+	b := bounds{inbound: min(max(memory/16, 256<<10), 4<<20)}
+	b.mysql = mysql.Config{MaxSessions: int(sessionShare * float64(sockets)), MaxBuffered: memory / 8}
+	b.fetch = fetch.Config{MaxConns: sockets - b.mysql.MaxSessions - reserved - taken,
 		ConnectTimeoutMS: float64(cfg.Parsed.Limits.ConnectTimeout) / 1e6,
 		IdleMS:           float64(cfg.Parsed.Limits.ConnIdle) / 1e6}
 	if b.fetch.MaxConns < 16 {
@@ -265,7 +272,8 @@
 		}
 	}
 	limit(cfg)
-	r.front.Configure(b.sessions)
+	r.net.SetMaxInbound(b.inbound)
+	r.front.Configure(b.mysql)
 	r.client.Configure(b.fetch)
 	if r.flightClient != nil {
 		r.flightClient.Configure(b.fetch.ConnectTimeoutMS)
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -106,6 +106,7 @@
 
 func (e *end) Write(b []byte) { e.d.written = append(e.d.written, hex.EncodeToString(b)) }
 func (e *end) Close()         {}
+func (e *end) Linger()        {}
 
 // A bad frame, a gap or silence ends the link, keeps the list, and the next link goes on from the last good
 // event.
--- a/internal/fetch/fetch_test.go
+++ b/internal/fetch/fetch_test.go
@@ -50,6 +50,8 @@
 	l.s.out.WriteString("\n")
 }
 
+func (l *link) Linger() { l.Close() }
+
 func (l *link) Close() {
 	if !l.closed {
 		l.closed = true
--- a/internal/mysql/session.go
+++ b/internal/mysql/session.go
@@ -3,6 +3,7 @@
 package mysql
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"strconv"
@@ -17,6 +18,15 @@
 	database = "warehouse"
 	// maxBuffered bounds what a session may pile up ahead of its answer.
 	maxBuffered = 2*maxPacket + 2*headerLength
+
+	// The time limits of a session, in milliseconds. Clients connect when they have something to ask, and one that
+	// can't be served is owed an answer or a close within 3 s: so a session has askWithin from its opening for the
+	// login and its first command, and packetWithin for a packet whose first byte has come. After that it may be
+	// idle; the platform's own clients close after 4 s of that. The limits are looked at every sweepEvery.
+	askWithin    = 2200.0
+	packetWithin = 2000.0
+	idleFor      = 10_000.0
+	sweepEvery   = 250.0
 )
 
 // Front hands the requests of its sessions to the core.
@@ -25,22 +35,70 @@
 	loop     *router.Loop
 	log      *slog.Logger
 	status   func() [][2]string
-	max      int
+	cfg      Config
 	sessions map[uint32]*session
 	next     uint32
+	buffered int // bytes in the buffers of all sessions
 	Counters Counters
 }
 
+// Config bounds the front.
+type Config struct {
+	MaxSessions int
+	MaxBuffered int // bytes of all sessions together that wait for the rest of a packet or for their turn
+}
+
 // Counters count what the front took in.
-type Counters struct{ Sessions, TurnedAway, Logins, BadLogins, BadPackets, BadFields, Pings, Kills int64 }
+type Counters struct {
+	Sessions, TurnedAway, Evicted, TimedOut, Logins, BadLogins, BadPackets, BadFields, Pings, Kills int64
+}
 
-// NewFront returns a front that keeps at most max sessions; status gives the rows of SHOW STATUS.
-func NewFront(core *router.Core, loop *router.Loop, max int, status func() [][2]string, log *slog.Logger) *Front {
-	return &Front{core: core, loop: loop, max: max, status: status, log: log, sessions: map[uint32]*session{}}
+// NewFront returns a front; status gives the rows of SHOW STATUS.
+func NewFront(core *router.Core, loop *router.Loop, cfg Config, status func() [][2]string, log *slog.Logger) *Front {
+	f := &Front{core: core, loop: loop, cfg: cfg, status: status, log: log, sessions: map[uint32]*session{}}
+	f.sweep()
+	return f
 }
 
-// Configure has the front keep at most max sessions from now on; those that are open stay.
-func (f *Front) Configure(max int) { f.max = max }
+// Configure has the front go by other bounds from now on; sessions that are open stay.
+func (f *Front) Configure(cfg Config) { f.cfg = cfg }
+
+// sweep ends the sessions whose time is up.
+func (f *Front) sweep() {
+	now := f.loop.Now()
+	for _, s := range f.sessions {
+		s.expire(now)
+	}
+	f.loop.After(sweepEvery, f.sweep)
+}
+
+// evict ends the session that is missed least, to make room for a new one: of those that have not logged in the
+// oldest, else of those with nothing open the one that was quiet longest. It guards against connections that say
+// nothing, or that were used once and kept, shutting everybody else out.
+func (f *Front) evict() bool {
+	var least *session
+	before := func(a, b *session) bool {
+		if a.loggedIn != b.loggedIn {
+			return !a.loggedIn
+		}
+		return a.since < b.since || a.since == b.since && a.id < b.id
+	}
+	for _, s := range f.sessions {
+		if !s.busy && (!s.loggedIn || len(s.buf) == 0) && (least == nil || before(s, least)) {
+			least = s
+		}
+	}
+	if least == nil {
+		return false
+	}
+	f.Counters.Evicted++
+	f.log.Debug("session evicted", "session", least.id, "logged_in", least.loggedIn, "quiet_ms", f.loop.Now()-least.since)
+	if !least.loggedIn {
+		least.fail(errTooManyConns, "too many connections")
+	}
+	least.close()
+	return true
+}
 
 // Accept gives the handler of a new connection.
 func (f *Front) Accept() netio.Handler { return &session{front: f} }
@@ -67,6 +125,9 @@
 	seq      byte // of the answer's next packet
 	buf      []byte
 	at       float64 // when the last bytes came
+	opened   float64
+	since    float64 // when it began to wait for the client: for a login, a command, or the rest of a packet
+	asked    bool    // a command has come
 }
 
 func (s *session) Opened(c netio.Conn) {
@@ -75,7 +136,9 @@
 	f.next++
 	s.id = f.next
 	f.Counters.Sessions++
-	if len(f.sessions) >= f.max {
+	s.opened = f.loop.Now()
+	s.since = s.opened
+	if len(f.sessions) >= f.cfg.MaxSessions && !f.evict() {
 		f.Counters.TurnedAway++
 		s.fatal(errTooManyConns, "too many connections")
 		return
@@ -84,32 +147,65 @@
 	w := writer{}
 	w.greeting(s.id, "windflow-needs-no-pw") // 20 bytes; the password is empty, so the salt protects nothing
 	c.Write(w.b)
+	s.seq = w.seq + 1 // the client's login stands between
 }
 
 func (s *session) Closed(error) {
-	delete(s.front.sessions, s.id)
-	s.shut = true
-	if s.busy {
-		s.busy = false
-		s.front.core.Abandon(s.handle)
-	}
+	s.leave()
 }
 
 func (s *session) Data(b []byte, at float64) {
 	if s.shut {
 		return
 	}
-	s.buf = append(s.buf, b...)
+	if len(s.buf) == 0 {
+		s.since = at
+	}
+	s.keep(append(s.buf, b...))
 	s.at = at
 	s.advance()
-	if len(s.buf) > maxBuffered {
+	switch {
+	case s.shut:
+	case len(s.buf) > maxBuffered:
 		s.fatal(errPacketTooBig, "too much sent ahead of the answer")
+	case s.front.buffered > s.front.cfg.MaxBuffered:
+		s.fatal(errTooManyConns, "too many packets are under way")
 	}
-	if len(s.buf) == 0 {
-		s.buf = nil // idle sessions hold no buffer
+}
+
+// keep sets the buffer; an empty one holds no memory.
+func (s *session) keep(b []byte) {
+	s.front.buffered += len(b) - len(s.buf)
+	if s.buf = b; len(b) == 0 {
+		s.buf = nil
 	}
 }
 
+// expire ends the session if the client has let its time go by.
+func (s *session) expire(now float64) {
+	text := ""
+	switch {
+	case s.busy:
+	case !s.asked && now-s.opened >= askWithin:
+		text = "no whole command came after the connection"
+	case len(s.buf) > 0 && now-s.since >= packetWithin:
+		text = "the rest of a packet did not come"
+	case len(s.buf) == 0 && now-s.since >= idleFor:
+		text = "idle"
+	}
+	if text == "" {
+		return
+	}
+	s.front.Counters.TimedOut++
+	s.front.log.Debug("session timed out", "session", s.id, "text", text)
+	if s.loggedIn && len(s.buf) == 0 {
+		s.close() // an error packet here could pass for the answer to a command that is just under way
+		return
+	}
+	s.fail(errReadTimeout, text)
+	s.end()
+}
+
 // advance handles whole packets until a request is open.
 func (s *session) advance() {
 	for !s.shut && !s.busy && len(s.buf) >= headerLength {
@@ -123,13 +219,15 @@
 			return
 		}
 		seq, body := s.buf[3], s.buf[headerLength:headerLength+n]
-		s.buf = s.buf[headerLength+n:]
+		s.keep(s.buf[headerLength+n:])
+		s.since = s.front.loop.Now()
 		s.seq = seq + 1
 		s.packet(seq, body)
 	}
 }
 
 func (s *session) packet(seq byte, body []byte) {
+	first := !s.loggedIn
 	switch {
 	case !s.loggedIn:
 		s.login(seq, body)
@@ -142,6 +240,7 @@
 	default:
 		s.command(body[0], body[1:])
 	}
+	s.asked = s.asked || s.loggedIn && !first
 }
 
 func (s *session) login(seq byte, body []byte) {
@@ -322,7 +421,7 @@
 // answer writes the one answer to the command at hand and goes on with what the client sent meanwhile.
 func (s *session) answer(b []byte) {
 	wasBusy := s.busy
-	s.busy = false
+	s.busy, s.since = false, s.front.loop.Now()
 	s.conn.Write(b)
 	if wasBusy && len(s.buf) > 0 {
 		s.front.loop.Post(s.advance)
@@ -343,13 +442,37 @@
 
 // fatal answers with an error and closes: the framing is lost, or the client may not go on.
 func (s *session) fatal(code int, text string) {
-	s.front.log.Warn("session closed", "session", s.id, "code", code, "text", text)
+	level := slog.LevelWarn
+	if code == errTooManyConns {
+		level = slog.LevelDebug // a flood would fill the log; the counters tell
+	}
+	s.front.log.Log(context.Background(), level, "session closed", "session", s.id, "code", code, "text", text)
 	s.fail(code, text)
-	s.close()
+	s.end()
+}
+
+// end closes once the client has had time to read the error that was written; it may be sending still.
+func (s *session) end() {
+	s.leave()
+	s.conn.Linger()
 }
 
 func (s *session) close() {
-	s.shut = true
-	s.buf = nil
+	s.leave()
 	s.conn.Close()
 }
+
+// leave takes the session out of the front's; its open request is not answered any more.
+func (s *session) leave() {
+	s.forget()
+	if s.busy {
+		s.busy = false
+		s.front.core.Abandon(s.handle)
+	}
+}
+
+func (s *session) forget() {
+	delete(s.front.sessions, s.id)
+	s.shut = true
+	s.keep(nil)
+}
--- a/internal/mysql/session_test.go
+++ b/internal/mysql/session_test.go
@@ -45,7 +45,8 @@
 		w.written = append(w.written, b...)
 	}
 }
-func (w *wire) Close() { w.closed = true }
+func (w *wire) Close()  { w.closed = true }
+func (w *wire) Linger() { w.closed = true }
 
 // stage plays an exchange: sessions by name on one front, on a clock that the exchange sets.
 type stage struct {
@@ -71,7 +72,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.front = NewFront(core, s.loop, 3, func() [][2]string { return [][2]string{{"taken", "1"}} },
+	s.front = NewFront(core, s.loop, Config{MaxSessions: 3, MaxBuffered: 100_000}, func() [][2]string { return [][2]string{{"taken", "1"}} },
 		slog.New(slog.DiscardHandler))
 	core.Engines(brain.EngineList{Mode: brain.ListSaved, Engines: []brain.Engine{{ID: 7, Kind: "k", Size: 1}}},
 		map[brain.EngineID]string{7: "127.0.0.1:1"})
@@ -223,6 +224,27 @@
 	}
 }
 
+// All sessions together buffer no more than their bound: it guards a small memory against many long packets that
+// stop short of their end. What a session had buffered is free again once it has ended.
+func TestBuffersOfAllSessionsAreBounded(t *testing.T) {
+	s := newStage(t)
+	half := strings.Repeat("00", 51_000)
+	for _, name := range []string{"a", "b"} {
+		s.play(name + " open")
+		s.play(name + " login")
+	}
+	if got := s.play("a raw 00ff0000" + half); got != "" {
+		t.Errorf("the first half packet: %q", got)
+	}
+	if got := s.play("b raw 00ff0000" + half); !strings.Contains(got, "error 1040") || !strings.Contains(got, "b closed") {
+		t.Errorf("the second half packet: %q", got)
+	}
+	s.play("a leave")
+	if s.front.buffered != 0 || len(s.front.sessions) != 0 {
+		t.Errorf("%d bytes and %d sessions are kept", s.front.buffered, len(s.front.sessions))
+	}
+}
+
 // FuzzSession feeds arbitrary bytes: no crash, and nothing malformed reaches an engine.
 func FuzzSession(f *testing.F) {
 	f.Add([]byte("\x01\x00\x00\x00\x0e"))
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -21,10 +21,15 @@
 	"windflow/internal/router"
 )
 
-// Conn is a connection as its owner sees it. Write queues all of b; neither call blocks.
+// Conn is a connection as its owner sees it. Write queues all of b; no call blocks.
 type Conn interface {
 	Write(b []byte)
+	// Close closes at once. Where the peer has sent what was not read, the system resets the connection, and the
+	// peer may never see what was written last.
 	Close()
+	// Linger closes once the peer has had time to read what was written: until then, what it still sends is read
+	// and dropped. Data is not heard any more.
+	Linger()
 }
 
 // Handler hears of a connection, always in the loop's goroutine. Closed is the last call; it is made also
@@ -45,11 +50,20 @@
 
 // The limits that keep a flood within the memory that the router has.
 const (
-	// maxInbound bounds the bytes read but not yet handled; past it the poller waits for the loop.
+	// maxInbound bounds the bytes read but not yet handled, unless SetMaxInbound says less; past it the poller
+	// waits for the loop.
 	maxInbound = 4 << 20
 	// maxUnwritten bounds what a peer that does not read may leave queued on its connection.
-	maxUnwritten = 1 << 20
+	maxUnwritten = 256 << 10
 	readBuffer   = 32 << 10
+	// maxUnsettled is how many connections may be accepted ahead of the loop: it closes those that are too many,
+	// and until it has, each holds a descriptor that nothing has counted.
+	maxUnsettled = 16
+	// lingerFor and maxDropped end a Linger, in milliseconds and bytes. Beyond maxLingering at once, connections
+	// are closed without one: they hold descriptors that nobody else may use.
+	lingerFor    = 300.0
+	maxDropped   = 4 << 20
+	maxLingering = 32
 )
 
 // Net opens connections and listens.
@@ -61,16 +75,23 @@
 	listener  net.Listener // nil where it only dials
 	accepting sync.WaitGroup
 
-	mu      sync.Mutex
-	drained *sync.Cond
-	inbound int
-	stopped bool
+	unsettled chan struct{} // holds one for each connection that the loop has not heard of yet
+	done      chan struct{} // closed by Stop
+	lingering int           // touched in the loop only
+
+	mu         sync.Mutex
+	drained    *sync.Cond
+	inbound    int
+	maxInbound int
+	stopped    bool
+	dropping   map[*nbio.Conn]int // the bytes that connections in a Linger may still send
 }
 
 // New starts a poller. Where listen is not empty, accept gives each new connection's handler.
 func New(loop *router.Loop, listen string, accept func() Handler, log *slog.Logger) (*Net, error) {
 	pollerLog.Store(log)
-	n := &Net{loop: loop, log: log}
+	n := &Net{loop: loop, log: log, maxInbound: maxInbound, unsettled: make(chan struct{}, maxUnsettled),
+		done: make(chan struct{}), dropping: map[*nbio.Conn]int{}}
 	n.drained = sync.NewCond(&n.mu)
 	n.engine = nbio.NewEngine(nbio.Config{Name: "windflow", Network: "tcp", NPoller: 1,
 		ReadBufferSize: readBuffer, MaxWriteBufferSize: maxUnwritten})
@@ -82,6 +103,7 @@
 		c.SetSession(s)
 		_ = c.SetNoDelay(true)
 		loop.Post(func() {
+			<-n.unsettled
 			s.h = accept()
 			s.h.Opened(s)
 		})
@@ -91,11 +113,14 @@
 		if !ok {
 			return
 		}
+		if n.drop(c, len(b)) {
+			return
+		}
 		at, data := loop.Now(), append([]byte(nil), b...)
 		n.admit(len(data))
 		loop.Post(func() {
 			n.release(len(data))
-			if s.h != nil && !s.closed {
+			if s.h != nil && !s.closed && !s.lingers {
 				s.h.Data(data, at)
 			}
 		})
@@ -144,6 +169,11 @@
 func (n *Net) serve() {
 	defer n.accepting.Done()
 	for {
+		select {
+		case n.unsettled <- struct{}{}:
+		case <-n.done:
+			return
+		}
 		c, err := n.listener.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
@@ -154,6 +184,7 @@
 			}
 		}
 		if err != nil {
+			<-n.unsettled
 			n.log.Warn("accept failed", "err", err)
 			time.Sleep(acceptPause)
 		}
@@ -170,6 +201,7 @@
 	n.stopped = true
 	n.drained.Broadcast()
 	n.mu.Unlock()
+	close(n.done)
 	if n.listener != nil {
 		_ = n.listener.Close()
 		n.accepting.Wait()
@@ -185,10 +217,32 @@
 	}
 }
 
+// drop tells whether what came on a connection is dropped, and closes one that sends too much of that.
+func (n *Net) drop(c *nbio.Conn, size int) bool {
+	n.mu.Lock()
+	left, drops := n.dropping[c]
+	if drops {
+		n.dropping[c] = left - size
+	}
+	n.mu.Unlock()
+	if drops && left < size {
+		_ = c.Close()
+	}
+	return drops
+}
+
+// SetMaxInbound bounds the bytes that were read and not yet handled.
+func (n *Net) SetMaxInbound(bytes int) {
+	n.mu.Lock()
+	n.maxInbound = bytes
+	n.drained.Broadcast()
+	n.mu.Unlock()
+}
+
 // admit waits in the poller's goroutine until the loop has caught up.
 func (n *Net) admit(size int) {
 	n.mu.Lock()
-	for n.inbound > 0 && n.inbound+size > maxInbound && !n.stopped {
+	for n.inbound > 0 && n.inbound+size > n.maxInbound && !n.stopped {
 		n.drained.Wait()
 	}
 	n.inbound += size
@@ -252,6 +306,8 @@
 	h       Handler
 	dialing *router.Timer
 	closed  bool
+	lingers bool
+	ending  *router.Timer // of a Linger
 }
 
 func (s *socket) up(c *nbio.Conn) {
@@ -277,6 +333,13 @@
 		return
 	}
 	s.closed = true
+	if s.lingers {
+		s.net.lingering--
+		s.ending.Stop()
+		s.net.mu.Lock()
+		delete(s.net.dropping, s.c)
+		s.net.mu.Unlock()
+	}
 	if s.h != nil {
 		s.h.Closed(err)
 	}
@@ -299,6 +362,22 @@
 	}
 }
 
+// Linger implements Conn.
+func (s *socket) Linger() {
+	switch {
+	case s.closed || s.lingers:
+	case s.c == nil || s.net.lingering >= maxLingering:
+		s.Close()
+	default:
+		s.net.lingering++
+		s.lingers = true
+		s.net.mu.Lock()
+		s.net.dropping[s.c] = maxDropped
+		s.net.mu.Unlock()
+		s.ending = s.net.loop.After(lingerFor, s.Close)
+	}
+}
+
 // pollerLog is where nbio's warnings go. nbio has one logger for the whole process and reads it from its own
 // goroutines, so that is set once, here, and only what stands behind it changes.
 var pollerLog atomic.Pointer[slog.Logger]
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -4,8 +4,10 @@
 	"bytes"
 	"context"
 	"errors"
+	"io"
 	"log/slog"
 	"net"
+	"runtime"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -147,3 +149,102 @@
 		t.Errorf("%d bytes came of %d, or in another order", len(got), len(sent))
 	}
 }
+
+// refuser answers the first bytes with an error and lingers.
+type refuser struct {
+	conn   Conn
+	heard  int
+	closed chan int
+}
+
+func (r *refuser) Opened(c Conn) { r.conn = c }
+func (r *refuser) Closed(error)  { r.closed <- r.heard }
+func (r *refuser) Data([]byte, float64) {
+	r.heard++
+	r.conn.Write([]byte("no"))
+	r.conn.Linger()
+	r.conn.Linger()
+}
+
+// A client that is refused while it sends goes on sending, reads the refusal, and is not reset: a close with unread
+// input would make its writes fail and might take the refusal away. The clock stands, so that nothing but the
+// client ends the connection here.
+func TestLinger(t *testing.T) {
+	loop := router.NewLoop(&clock.Manual{MS: 1})
+	r := &refuser{closed: make(chan int, 1)}
+	n, err := New(loop, "127.0.0.1:0", func() Handler { return r }, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	end := routertest.Run(loop)
+	defer n.Stop()
+	defer end()
+	c, err := net.Dial("tcp", n.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := c.Write([]byte("hello")); err != nil {
+		t.Fatal(err)
+	}
+	answer := make([]byte, 2)
+	if _, err := io.ReadFull(c, answer); err != nil || string(answer) != "no" {
+		t.Fatalf("%q, %v", answer, err)
+	}
+	if _, err := c.Write(make([]byte, maxDropped/2)); err != nil {
+		t.Error("what the client goes on sending:", err)
+	}
+	if err := c.Close(); err != nil {
+		t.Error(err)
+	}
+	if heard := <-r.closed; heard != 1 {
+		t.Errorf("the handler heard %d times", heard)
+	}
+	done := make(chan int)
+	loop.Post(func() { done <- n.lingering })
+	if left := <-done; left != 0 {
+		t.Errorf("%d connections are counted as lingering", left)
+	}
+}
+
+// Time ends a Linger where the client does not, and so do too many bytes.
+func TestLingerEnds(t *testing.T) {
+	r := &refuser{closed: make(chan int, 1)}
+	n, _ := newNet(t, "127.0.0.1:0", func() Handler { return r })
+	for _, more := range []int{0, 4 * maxDropped} {
+		c, err := net.Dial("tcp", n.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = c.Write(make([]byte, 5+more)) // it may be reset; that is not at stake here
+		<-r.closed
+		_ = c.Close()
+	}
+}
+
+// No more than maxUnsettled connections are accepted ahead of the loop, and all come up in the end. It guards the
+// descriptors against a flood that comes between two steps of the loop.
+func TestAcceptWaitsForTheLoop(t *testing.T) {
+	const clients = 3 * maxUnsettled
+	opened := 0
+	loop := router.NewLoop(&clock.Manual{MS: 1})
+	n, err := New(loop, "127.0.0.1:0", func() Handler { opened++; return newTap() }, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.Stop()
+	for range clients {
+		c, err := net.Dial("tcp", n.Addr())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	for before := 0; opened < clients; before = opened {
+		loop.Step()
+		if opened-before > maxUnsettled {
+			t.Fatalf("%d connections in one step", opened-before)
+		}
+		runtime.Gosched()
+	}
+}
