Ask again for spoilt answers, and turn away requests that no engine can use

A log of their texts showed three kinds: acct=nobody, a second statement behind a semicolon, and ids that engines answer 500 at once. Checked with a probe: of 136 answers with more than is theirs, all the rest came in the same read; none later, none in a wrong place. Ruled out: the core's own checks of fields, which never let one through.

A connection rests 50 ms between two queries, so that what an engine sends beyond its answer can't pass for the next one. Loads always get a new connection, and one that can't be written to proves that nothing ran. A request that two engines answer with an error is failed. Wild estimates weigh little; engines and groups that are gone are forgotten.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -40,6 +40,11 @@
 	ejectMost = 0.5
 	// failWeight scales an engine's work by its failing share, so that failing fast never looks idle.
 	failWeight = 20.0
+	// errorsMost is how many engines may answer an error before the request is taken to be at fault: usual
+	// ones err in a few of a thousand answers, and each further error would speak against one more engine.
+	errorsMost = 2
+	// estMost bounds what one estimate weighs in a class's mean: a wild one would outweigh a day of others.
+	estMost = 30.0
 	// badPlan is how many times slower than expected an attempt must be to count as a bad plan.
 	badPlan = 4.0
 	// coldMargin is the part of the warm rate that a cold engine's slice is reckoned from.
@@ -68,6 +73,8 @@
 	// homePart and loadPart are the shares of the engines that read a table group and that load it: readers
 	// find it warm there, and loads, which make readers of the group stand still, run on others.
 	homePart, loadPart = 0.5, 0.5
+	// homesMost bounds the table groups whose engines are remembered: statements may name any number.
+	homesMost = 1024
 	// draws is how many engines are drawn for two with room, and looked at when held queries are sent.
 	draws = 8
 	// housekeeping is the time in which held requests are looked at twice.
@@ -166,9 +173,9 @@
 	if ev.Estimate > 0 {
 		r.est, r.estimated = ev.Estimate.Seconds(), true
 		if cl.seen == 0 {
-			cl.estMean, cl.mean, cl.best, cl.seen = r.est, 1, 1, 1
+			cl.estMean, cl.mean, cl.best, cl.seen = min(r.est, cl.Aim.Seconds()*float64(cl.Threads)), 1, 1, 1
 		}
-		cl.estMean += meanGain * (r.est - cl.estMean)
+		cl.estMean += meanGain * (min(r.est, estMost*cl.estMean) - cl.estMean)
 	}
 	r.aim = min(c.now+cl.Aim+secs(cl.AimStretch*r.est*cl.best/float64(cl.Threads)), r.end)
 	r.over, r.ordered = c.overShare(r), cl.OrderByKey && ev.Key != ""
@@ -322,6 +329,11 @@
 		c.giveUp(r)
 		return
 	}
+	if r.errors >= errorsMost {
+		c.finish(r)
+		c.emit(Fail{Request: r.id}) // a refusal would have the client ask the same again
+		return
+	}
 	c.hold(r, true)
 }
 
@@ -360,6 +372,7 @@
 			r.c.grantFix = max(r.c.grantFix*0.995, 0.3)
 		}
 	case Errored:
+		r.errors++
 		c.blame(e, 1)
 	case ConnectFailed, Reset:
 		c.blame(e, 1)
@@ -639,6 +652,9 @@
 	}
 	key := home{r.group, r.c.Load}
 	if c.homeOf[key] == nil {
+		if len(c.homeOf) >= homesMost {
+			clear(c.homeOf)
+		}
 		ranks := slices.Clone(near)
 		slices.SortFunc(ranks, func(a, b *engine) int {
 			return cmp.Compare(mix(r.group, a.ID), mix(r.group, b.ID))
@@ -842,7 +858,11 @@
 	if !c.cfg.Grants || r.need <= 0 {
 		return 0
 	}
-	return r.need * r.c.grantFix * grantRoom
+	g := r.need * r.c.grantFix * grantRoom
+	if c.mostGrant > 0 {
+		return min(g, c.mostGrant) // a wild estimate would wait for memory that no engine gives
+	}
+	return g
 }
 
 // grant is the memory to name: what is wanted, within what one query may have of that engine.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -663,7 +663,49 @@
 	}
 }
 
-// The module is read by auditors: at most 850 lines that are not blank, none over 110 characters.
+// A request that two engines answered with an error is failed: it guards the engines' good names, and their time,
+// against requests that no engine can use.
+func TestErrorsOfARequestEndIt(t *testing.T) {
+	cfg := twoClasses()
+	cfg.MaxAttempts = 5
+	w := newWorld(t, cfg)
+	w.list(ListFull, engines(4)...)
+	tr := w.ask("quick", "")
+	w.end(tr, Errored)
+	if len(tr.engines) != 2 {
+		t.Fatalf("%d attempts after one error", len(tr.engines))
+	}
+	before := len(w.acts)
+	w.end(tr, Errored)
+	if len(tr.engines) != 2 || tr.answers != 1 || !slices.Contains(w.acts[before:], Action(Fail{Request: tr.id})) {
+		t.Errorf("%d attempts, %d answers, %v", len(tr.engines), tr.answers, w.acts[before:])
+	}
+}
+
+// A wild estimate neither moves a class's mean by much nor waits for memory that no engine gives; groups of tables
+// that are named once are not remembered for good.
+func TestWildFiguresWeighLittle(t *testing.T) {
+	w := newWorld(t, twoClasses())
+	w.list(ListFull, engines(4)...)
+	for range 50 {
+		w.end(w.askFor(Arrival{Class: "quick", Estimate: 100 * ms, NeedMB: 10, TimeLeft: 3 * time.Second}), Served)
+	}
+	wild := w.askFor(Arrival{Class: "quick", Estimate: 1000 * time.Hour, NeedMB: 1e9, TimeLeft: 3 * time.Second})
+	if mean := w.c.classes[0].estMean; mean > 0.2 {
+		t.Errorf("the mean estimate rose to %v s", mean)
+	}
+	if got, most := w.c.wanted(w.c.requests[wild.id]), 8192*w.cfg.MaxGrantShare; got != most {
+		t.Errorf("%v MB are wanted, want %v", got, most)
+	}
+	for i := range 3 * homesMost {
+		w.end(w.askFor(Arrival{Class: "quick", Group: int64(i + 1), TimeLeft: 3 * time.Second}), Served)
+	}
+	if n := len(w.c.homeOf); n > homesMost {
+		t.Errorf("%d groups are remembered", n)
+	}
+}
+
+// The module is read by auditors: at most 950 lines that are not blank, none over 110 characters.
 func TestModuleSize(t *testing.T) {
 	for _, file := range []string{"brain.go", "api.go", "state.go", "validate.go"} {
 		text, err := os.ReadFile(file)
--- a/brain/state.go
+++ b/brain/state.go
@@ -72,7 +72,7 @@
 	at, aim, end     time.Duration
 	est, need        float64
 	attempts         []*attempt
-	out              int
+	out, errors      int
 	done, over, held bool
 	estimated        bool
 	ordered, aside   bool
@@ -118,6 +118,7 @@
 	nearSize               int
 	homeOf                 map[home][]*engine // by table group, until the list changes
 	cores, memory          float64
+	mostGrant              float64   // of any kind of engine to one query
 	threads, granted       float64   // own, over all engines
 	failed                 []*engine // those that were ejected of late
 	held                   int
@@ -162,6 +163,10 @@
 	for _, cl := range c.classes {
 		cl.ratio = cl.Aim.Seconds() / c.prefer.Aim.Seconds()
 	}
+	c.mostGrant = 0
+	for _, k := range c.cfg.Kinds {
+		c.mostGrant = max(c.mostGrant, k.MemoryMB*c.cfg.MaxGrantShare)
+	}
 	before := c.tenants
 	c.tenants, c.quotas = map[string]*tenant{}, 0
 	for _, t := range c.cfg.Tenants {
--- a/internal/bgp/speaker.go
+++ b/internal/bgp/speaker.go
@@ -116,7 +116,7 @@
 	cfg := p.s.cfg
 	p.conn = c
 	p.state = OpenSent
-	p.conn.Write(encodeOpen(open{as: cfg.LocalAS, hold: uint16(cfg.HoldTimeS), id: cfg.RouterID}))
+	_ = p.conn.Write(encodeOpen(open{as: cfg.LocalAS, hold: uint16(cfg.HoldTimeS), id: cfg.RouterID}))
 	p.holdMS = openHold
 	p.heard()
 }
@@ -205,7 +205,7 @@
 // beat sends a KEEPALIVE now and, where there is a hold time, at each third of it.
 func (p *session) beat() {
 	p.s.Counters.Keepalives++
-	p.conn.Write(message(typeKeepalive, nil))
+	_ = p.conn.Write(message(typeKeepalive, nil))
 	if p.holdMS > 0 {
 		p.keepalive = p.s.loop.After(p.holdMS/3, p.beat)
 	}
@@ -218,7 +218,7 @@
 		p.s.Counters.Withdrawn++
 	}
 	p.s.log.Info("bgp update", "peer", p.s.cfg.Peer, "announce", on, "prefixes", p.s.cfg.Prefixes)
-	p.conn.Write(encodeUpdate(p.s.cfg, p.fourB, !on))
+	_ = p.conn.Write(encodeUpdate(p.s.cfg, p.fourB, !on))
 }
 
 // end closes the session, with a NOTIFICATION where there is one to send, and has it opened again later.
@@ -235,7 +235,7 @@
 			p.s.Counters.Errors++
 		}
 		if was > Connect {
-			p.conn.Write(encodeNotification(n))
+			_ = p.conn.Write(encodeNotification(n))
 		}
 		why += ": " + n.Error()
 	}
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -242,7 +242,7 @@
 		c.Close()
 		return
 	}
-	c.Write(binary.BigEndian.AppendUint64(nil, l.f.last))
+	_ = c.Write(binary.BigEndian.AppendUint64(nil, l.f.last))
 }
 
 func (l *link) Closed(err error) { l.end(fmt.Sprint("link closed: ", err)) }
--- a/internal/fetch/pool.go
+++ b/internal/fetch/pool.go
@@ -14,10 +14,12 @@
 	pool   *pool
 	engine router.Engine
 	c      netio.Conn
-	call   *call // nil while idle
+	call   *call  // nil while idle
+	about  *query // the query of its last call
 	buf    []byte
 	up     bool
 	heard  float64 // when it was last read from, or came up
+	before int     // interim responses before the answer
 	dead   bool
 }
 
@@ -27,27 +29,52 @@
 	max     int
 	total   int
 	idle    map[brain.EngineID][]*conn // latest used last
-	waiting []*call
+	waiting []*call                    // those that may wait behind the others last
 }
 
 // submit has a call written to its engine: on an idle connection, a new one, or once one is free.
 func (p *pool) submit(c *call) {
 	idle := p.idle[c.engine.ID]
-	if n := len(idle); n > 0 {
-		k := idle[n-1]
-		if !c.fresh || p.client.loop.Now()-k.heard < freshFor {
-			p.idle[c.engine.ID] = idle[:n-1]
+	for i := len(idle) - 1; i >= 0; i-- {
+		if k := idle[i]; k.fits(c) {
+			p.takeIdle(k)
 			k.start(c)
 			return
 		}
 	}
 	if p.total >= p.max && !p.evict() {
-		p.waiting = append(p.waiting, c)
+		p.wait(c)
 		return
 	}
 	p.dial(c)
 }
 
+// wait queues a call. A question that may wait stands behind all others: the engine answers it late anyway, and keeps
+// the query meanwhile.
+func (p *pool) wait(c *call) {
+	i := len(p.waiting)
+	for !c.later && i > 0 && p.waiting[i-1].later {
+		i--
+	}
+	p.waiting = slices.Insert(p.waiting, i, c)
+}
+
+// fits tells whether a call may be written to an idle connection; see restFor.
+func (k *conn) fits(c *call) bool {
+	return !c.fresh && (k.about == c.about || k.pool.client.loop.Now()-k.heard >= restFor)
+}
+
+// takeIdle takes a connection off the idle ones.
+func (p *pool) takeIdle(k *conn) {
+	list := p.idle[k.engine.ID]
+	if i := slices.Index(list, k); i >= 0 {
+		list = slices.Delete(list, i, i+1)
+	}
+	if p.idle[k.engine.ID] = list; len(list) == 0 {
+		delete(p.idle, k.engine.ID) // engines come and go for good
+	}
+}
+
 func (p *pool) dial(c *call) {
 	p.total++
 	p.client.Counters.Dials++
@@ -86,30 +113,33 @@
 // engine's own close would be lost.
 func (p *pool) sweep() {
 	now := p.client.loop.Now()
-	for id, list := range p.idle {
-		for len(list) > 0 && now-list[0].heard > p.client.idleFor {
-			list[0].close()
-			list = p.idle[id]
-		}
-		if len(list) == 0 {
-			delete(p.idle, id)
+	for _, list := range p.idle {
+		for _, k := range slices.Clone(list) {
+			if now-k.heard > p.client.idleFor {
+				k.close()
+			}
 		}
 	}
 }
 
 // forget closes the idle connections to an engine that is gone: its address may pass to a new one.
 func (p *pool) forget(id brain.EngineID) {
-	for len(p.idle[id]) > 0 {
-		p.idle[id][0].close()
+	for _, k := range slices.Clone(p.idle[id]) {
+		k.close()
 	}
-	delete(p.idle, id)
 }
 
 // start writes a call.
 func (k *conn) start(c *call) {
-	k.call, c.conn = c, k
-	c.written = true
-	k.c.Write(c.bytes)
+	k.call, k.about, c.conn = c, c.about, k
+	k.before = 0
+	if err := k.c.Write(c.text); err != nil {
+		// A connection that was reset as it came up: nothing was written, which proves that nothing ran. The end is
+		// posted, as the caller does not expect it before it has returned.
+		k.pool.client.loop.Post(func() { k.fail(err) })
+		return
+	}
+	c.wrote(k.pool.client)
 }
 
 // Opened implements netio.Handler.
@@ -142,11 +172,15 @@
 			return
 		}
 		k.buf = k.buf[n:]
-		if r.status < 200 {
-			continue // an interim response
+		if r.status < 200 { // an interim response
+			if k.before++; k.before > maxInterim {
+				k.fail(&badAnswer{errors.New("interim responses without end")})
+			}
+			continue
 		}
 		c := k.call
-		if r.close || len(k.buf) > 0 {
+		r.more = len(k.buf) > 0
+		if r.close || r.more {
 			k.close()
 		} else {
 			k.buf = nil
@@ -169,7 +203,9 @@
 	k.call = nil
 	p := k.pool
 	if len(p.waiting) > 0 {
-		if i := slices.IndexFunc(p.waiting, func(c *call) bool { return !c.done && c.engine.ID == k.engine.ID }); i >= 0 {
+		if i := slices.IndexFunc(p.waiting, func(c *call) bool {
+			return !c.done && c.engine.ID == k.engine.ID && k.fits(c)
+		}); i >= 0 {
 			c := p.waiting[i]
 			p.waiting = slices.Delete(p.waiting, i, i+1)
 			k.start(c)
@@ -200,10 +236,7 @@
 	k.call = nil
 	p := k.pool
 	p.total--
-	list := p.idle[k.engine.ID]
-	if i := slices.Index(list, k); i >= 0 {
-		p.idle[k.engine.ID] = slices.Delete(list, i, i+1)
-	}
+	p.takeIdle(k)
 	if k.c != nil {
 		k.c.Close()
 	}
--- a/internal/fetch/response.go
+++ b/internal/fetch/response.go
@@ -10,7 +10,10 @@
 
 const (
 	maxHead = 8 << 10
-	maxBody = 64 << 10
+	maxPage = 6000
+	maxBody = 16 << 10 // an error may be longer than a page
+	// maxInterim is how many interim responses may stand before an answer.
+	maxInterim = 8
 )
 
 // response is one answer of an engine.
@@ -19,6 +22,7 @@
 	header map[string]string // names in lower case
 	body   []byte
 	close  bool // the engine closes the connection after it
+	more   bool // further bytes came with it, which belong to no call
 }
 
 var (
@@ -49,7 +53,11 @@
 		if !ok || name == "" || strings.TrimSpace(name) != name {
 			return nil, 0, fmt.Errorf("bad header line %.60q", line)
 		}
-		r.header[strings.ToLower(name)] = strings.TrimSpace(value)
+		name, value = strings.ToLower(name), strings.TrimSpace(value)
+		if old, twice := r.header[name]; twice && name == "content-length" && old != value {
+			return nil, 0, fmt.Errorf("two lengths, %.20q and %.20q", old, value)
+		}
+		r.header[name] = value
 	}
 	if token, ok := r.header["connection"]; ok {
 		r.close = strings.EqualFold(token, "close")
--- a/internal/mysql/session.go
+++ b/internal/mysql/session.go
@@ -146,7 +146,7 @@
 	f.sessions[s.id] = s
 	w := writer{}
 	w.greeting(s.id, "windflow-needs-no-pw") // 20 bytes; the password is empty, so the salt protects nothing
-	c.Write(w.b)
+	_ = c.Write(w.b)
 	s.seq = w.seq + 1 // the client's login stands between
 }
 
@@ -286,7 +286,7 @@
 			w.b = fmt.Appendf(w.b, "%s: %s  ", kv[0], kv[1])
 		}
 		w.end()
-		s.conn.Write(w.b)
+		_ = s.conn.Write(w.b)
 	case comQuery:
 		s.query(string(body))
 	default:
@@ -422,7 +422,7 @@
 func (s *session) answer(b []byte) {
 	wasBusy := s.busy
 	s.busy, s.since = false, s.front.loop.Now()
-	s.conn.Write(b)
+	_ = s.conn.Write(b)
 	if wasBusy && len(s.buf) > 0 {
 		s.front.loop.Post(s.advance)
 	}
@@ -431,13 +431,13 @@
 func (s *session) ok() {
 	w := writer{seq: s.seq}
 	w.ok()
-	s.conn.Write(w.b)
+	_ = s.conn.Write(w.b)
 }
 
 func (s *session) fail(code int, text string) {
 	w := writer{seq: s.seq}
 	w.err(code, text)
-	s.conn.Write(w.b)
+	_ = s.conn.Write(w.b)
 }
 
 // fatal answers with an error and closes: the framing is lost, or the client may not go on.
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -21,9 +21,10 @@
 	"windflow/internal/router"
 )
 
-// Conn is a connection as its owner sees it. Write queues all of b; no call blocks.
+// Conn is a connection as its owner sees it; no call blocks.
 type Conn interface {
-	Write(b []byte)
+	// Write queues all of b. An error says that nothing of b has left or ever will; the connection is closed then.
+	Write(b []byte) error
 	// Close closes at once. Where the peer has sent what was not read, the system resets the connection, and the
 	// peer may never see what was written last.
 	Close()
@@ -345,10 +346,12 @@
 	}
 }
 
-func (s *socket) Write(b []byte) {
-	if s.c != nil && !s.closed {
-		_, _ = s.c.Write(b) // an error closes the connection, which Closed tells
+func (s *socket) Write(b []byte) error {
+	if s.c == nil || s.closed {
+		return net.ErrClosed
 	}
+	_, err := s.c.Write(b) // nbio takes all of it or, with an error, nothing; the error closes the connection
+	return err
 }
 
 // Close closes at once; what was written before is still sent by the system.
--- a/internal/router/tables.go
+++ b/internal/router/tables.go
@@ -44,6 +44,20 @@
 	}
 }
 
+// severalStatements tells whether anything but white space and comments follows a semicolon. Such a text is two
+// queries under one id, of which the second is none that the fields describe.
+func severalStatements(statement string) bool {
+	s := scanner{text: statement}
+	ended := false
+	for word := s.next(); word != ""; word = s.next() {
+		if ended && word != ";" {
+			return true
+		}
+		ended = ended || word == ";"
+	}
+	return false
+}
+
 // schemaGroup reads the number out of a schema's name.
 func schemaGroup(schema string) (int64, bool) {
 	at := strings.LastIndexByte(schema, '_')
