--- a/brain/brain.go
+++ b/brain/brain.go
@@ -44,7 +44,7 @@
 	// ones err in a few of a thousand answers, and each further error would speak against one more engine.
 	errorsMost = 2
 	// estMost bounds what one estimate weighs in a class's mean: a wild one would outweigh a day of others.
-	estMost = 30.0
+	estMost = 100.0
 	// badPlan is how many times slower than expected an attempt must be to count as a bad plan.
 	badPlan = 4.0
 	// coldMargin is the part of the warm rate that a cold engine's slice is reckoned from.
