--- a/brain/brain.go
+++ b/brain/brain.go
@@ -15,8 +15,10 @@
 	// ratioCap is the paper's Rmax; its field experiment used 7:1.
 	ratioCap = 7.0
 	// threadsPerCore is the bound on running threads a core: cores and disks overlap up to about there, and
-	// preferred queries run beside it.
-	threadsPerCore = 1.0
+	// preferred queries run beside it. In a jam it goes down to jamThreads: preferred queries then take
+	// jamFrom to jamFull times the least that they were seen to take.
+	threadsPerCore, jamThreads = 1.4, 1.0
+	jamFrom, jamFull           = 1.5, 3.0
 	// calmAt is the reported share of cores, disks and memory in use below which an engine counts as calm.
 	calmAt = 0.8
 	// calmRoom is how far the bound gives way on a calm engine; reports lag, so it never opens wholly.
@@ -61,6 +63,9 @@
 	rateLife = 10 * time.Second
 	// shareLife is the time over which own traffic is averaged: longer than bursts, shorter than a shift.
 	shareLife = 30 * time.Second
+	// slowMost bounds how far the bound on an engine shrinks with its slowness: another program may have most
+	// of its cores.
+	slowMost = 3.0
 	// quotaSlack is how far a tenant may pass its share here: gateways see uneven parts of each tenant.
 	quotaSlack = 1.2
 	// noteSlack is how many note periods without a word make an attempt lost; notes come also from the
@@ -429,7 +434,7 @@
 // observe compares an attempt's time with what the class usually takes.
 func (c *Controller) observe(a *attempt) {
 	e, r := a.e, a.r
-	x := (c.now - a.at).Seconds() * float64(r.c.Threads) / r.est
+	x := max((c.now-a.at).Seconds(), 1e-6) * float64(r.c.Threads) / r.est // the means are divided by
 	ratio := min(max(x/r.c.mean, 0.05), 20)
 	e.slow = c.slowness(e) + slowGain*(ratio-c.slowness(e))
 	e.slowAt = c.now
@@ -574,7 +579,10 @@
 }
 
 // bound is the threads a core that this gateway may run on average.
-func (c *Controller) bound() float64 { return threadsPerCore * c.share() }
+func (c *Controller) bound() float64 {
+	jam := (c.meanNow(c.prefer)/c.prefer.best - jamFrom) / (jamFull - jamFrom)
+	return (threadsPerCore - (threadsPerCore-jamThreads)*min(max(jam, 0), 1)) * c.share()
+}
 
 // room tells whether an engine may take one more query of a class: rests after a refusal or failures, the
 // memory that this gateway may grant, and the thread bound, which gives way on a calm engine.
@@ -593,7 +601,7 @@
 		max(l.Busy, l.Disk, l.Memory, l.InFlight/e.cores) < calmAt {
 		bound, whole = bound*calmRoom, true
 	}
-	own := bound * e.cores * spread
+	own := bound * e.cores * spread / min(max(c.slowness(e), 1), slowMost)
 	if r.c == c.prefer {
 		return e.prefer+e.threads < preferredRoom*own
 	}
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -726,3 +726,28 @@
 		}
 	}
 }
+
+// The bound on running threads goes down in a jam, and on one engine that is slower than the others: where another
+// program has most of the cores, the usual bound would have it thrash.
+func TestBoundGoesDownInAJamAndOnASlowEngine(t *testing.T) {
+	w := newWorld(t, twoClasses())
+	w.list(ListFull, engines(4)...)
+	w.c.now = w.now
+	quick, big := w.c.prefer, w.c.classes[1]
+	for _, k := range []struct{ times, want float64 }{{1, threadsPerCore}, {jamFrom, threadsPerCore},
+		{(jamFrom + jamFull) / 2, (threadsPerCore + jamThreads) / 2}, {jamFull, jamThreads}, {50, jamThreads}} {
+		quick.best, quick.mean, quick.seenAt = 1, k.times, w.now
+		if got := w.c.bound(); math.Abs(got-k.want) > 1e-9 {
+			t.Errorf("at %v times the least: %v threads a core, want %v", k.times, got, k.want)
+		}
+	}
+	quick.mean = 1
+	e, r := w.c.engines[0], &request{c: big, est: 1, end: w.now + time.Second}
+	e.threads, w.c.threads = 4, 4
+	for slow, want := range map[float64]bool{1: true, 1.5: true, 3: false, 100: false} {
+		e.slow, e.slowAt = slow, w.now
+		if got := w.c.room(e, r); got != want {
+			t.Errorf("slow by %v: room %v", slow, got)
+		}
+	}
+}
--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -22,7 +22,7 @@
 const (
 	// answerWithin is how long an engine may be silent on a call once that is written, in milliseconds: it answers a
 	// question within 250 ms, if only with 'not yet over', and keeps a query for 2 s after the last question.
-	answerWithin = 450.0
+	answerWithin = 320.0
 	// silentFor is how long an engine may leave all questions about a query unanswered before the attempt counts as
 	// lost; silentForOnce is the same for what must not run twice: nobody else can do that in its place, so that
 	// the engine is asked for as long as it may still know the query.
@@ -339,10 +339,11 @@
 		limit = silentForOnce
 	}
 	var bad *badAnswer
+	q.c.log.Debug("no usable answer from an engine", "engine", q.call.Engine.Addr, "rid", q.call.ID, "why", err,
+		"in_a_row", q.failed)
 	switch {
 	case errors.As(err, &bad):
 		q.c.Counters.BadAnswers++
-		q.c.log.Debug("bad answer from an engine", "engine", q.call.Engine.Addr, "rid", q.call.ID, "why", err)
 		if q.bad++; q.bad >= maxBad {
 			q.c.log.Warn("bad answers from an engine", "engine", q.call.Engine.Addr, "rid", q.call.ID, "why", err)
 			q.end(brain.Errored, err.Error())
