--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -742,6 +742,7 @@
 		}
 	}
 	quick.mean = 1
+	w.c.nearby()
 	e, r := w.c.engines[0], &request{c: big, est: 1, end: w.now + time.Second}
 	e.threads, w.c.threads = 4, 4
 	for slow, want := range map[float64]bool{1: true, 1.5: true, 3: false, 100: false} {
