--- a/cmd/windflow/main.go
+++ b/cmd/windflow/main.go
@@ -63,6 +63,28 @@
 	debug     bool
 }
 
+// extra holds the files that the command line names; a part without one is off.
+type extra struct {
+	flight    flightsql.Config
+	neighbour bgp.Config
+}
+
+func (o options) read() (extra, error) {
+	var e extra
+	var err error
+	if o.flightSQL != "" {
+		if e.flight, err = flightsql.ReadConfig(o.flightSQL); err != nil {
+			return e, err
+		}
+	}
+	if o.bgp != "" {
+		if e.neighbour, err = bgp.ReadConfig(o.bgp); err != nil {
+			return e, err
+		}
+	}
+	return e, nil
+}
+
 func run(opts options) error {
 	path := os.Getenv("PROXY_CONFIG")
 	if path == "" {
@@ -88,7 +110,7 @@
 	go func() {
 		for s := range signals {
 			if s == syscall.SIGHUP {
-				r.reload(path) // reads the file here: the loop may not wait for a disk
+				r.reload(path, opts) // reads the files here: the loop may not wait for a disk
 				continue
 			}
 			r.loop.Post(func() { r.signal(s) })
@@ -110,20 +132,13 @@
 	if err != nil {
 		return nil, fmt.Errorf("field settings: %w", err)
 	}
-	var flight flightsql.Config
-	if opts.flightSQL != "" {
-		if flight, err = flightsql.ReadConfig(opts.flightSQL); err != nil {
-			return nil, err
-		}
-	}
-	var neighbour bgp.Config
-	if opts.bgp != "" {
-		if neighbour, err = bgp.ReadConfig(opts.bgp); err != nil {
-			return nil, err
-		}
+	extra, err := opts.read()
+	if err != nil {
+		return nil, err
 	}
+	flight := extra.flight
 	loop := router.NewLoop(clock.NewSystem())
-	r := &node{log: log, cfg: cfg, loop: loop, stop: make(chan struct{})}
+	r := &node{log: log, cfg: cfg, extra: extra, loop: loop, stop: make(chan struct{})}
 	if opts.flightSQL != "" {
 		r.flightConns = flight.MaxConnections + flightEngines
 	}
@@ -131,8 +146,8 @@
 	if err != nil {
 		return nil, err
 	}
-	clients := &router.ByKind{Kinds: map[string]router.EngineClient{}}
-	if r.core, err = router.New(loop, decisions, clients, log); err != nil {
+	r.clients = &router.ByKind{}
+	if r.core, err = router.New(loop, decisions, r.clients, log); err != nil {
 		return nil, fmt.Errorf("field settings: %w", err)
 	}
 	r.front = mysql.NewFront(r.core, loop, b.mysql, r.status, log)
@@ -141,12 +156,10 @@
 	}
 	r.net.SetMaxInbound(b.inbound)
 	r.client = fetch.New(loop, r.net, b.fetch, log)
-	clients.Other = r.client
+	r.clients.Other = r.client
 	if opts.flightSQL != "" {
 		r.flightClient = flightsql.NewClient(loop, b.fetch.ConnectTimeoutMS, flightLoads, log)
-		for _, kind := range flight.EngineKinds {
-			clients.Kinds[kind] = r.flightClient
-		}
+		r.speakFlight(flight.EngineKinds)
 		if r.flight, err = flightsql.Listen(flight, r.core, loop, cfg.SeedValue, log); err != nil {
 			r.net.Stop()
 			return nil, fmt.Errorf("%s: field listen: %w", opts.flightSQL, err)
@@ -158,7 +171,7 @@
 	r.board = board.Follow(loop, r.net, cfg.Board, namesOf(cfg), last,
 		func(l board.List) { r.core.Engines(l.Events, l.Addrs) }, log)
 	if opts.bgp != "" {
-		r.bgp = bgp.Start(loop, r.net, neighbour, log)
+		r.bgp = bgp.Start(loop, r.net, extra.neighbour, log)
 		r.bgp.Announce()
 	}
 	log.Info("ready", "listen", r.net.Addr(), "engines", len(known.Events.Engines), "last_event", last)
@@ -218,7 +231,9 @@
 type node struct {
 	log          *slog.Logger
 	cfg          *settings.Node // in force
+	extra        extra          // in force
 	flightConns  int            // descriptors set aside for Flight SQL
+	clients      *router.ByKind
 	loop         *router.Loop
 	net          *netio.Net
 	core         *router.Core
@@ -234,12 +249,17 @@
 	busyAt       float64
 }
 
-// reload reads the configuration again and hands it to the loop. A file that can't be used changes nothing.
-func (r *node) reload(path string) {
+// reload reads the configuration again, and the files that the command line names, and hands them to the loop. One
+// that can't be used has nothing changed.
+func (r *node) reload(path string, opts options) {
 	cfg, err := settings.ReadNode(path)
+	var e extra
+	if err == nil {
+		e, err = opts.read()
+	}
 	r.loop.Post(func() {
 		if err == nil {
-			err = r.configure(cfg)
+			err = r.configure(cfg, e)
 		}
 		if err != nil {
 			r.log.Error("reload refused", "file", path, "err", err)
@@ -249,7 +269,7 @@
 
 // configure puts another configuration in force, whole or, where it can't be used, not at all. Open requests,
 // sessions and connections are not touched. What can't change while running keeps its value, and the log names it.
-func (r *node) configure(cfg *settings.Node) error {
+func (r *node) configure(cfg *settings.Node, e extra) error {
 	decisions, err := cfg.Parsed.Config(r.cfg.SeedValue)
 	if err != nil {
 		return fmt.Errorf("field settings: %w", err)
@@ -266,20 +286,28 @@
 		name    string
 		old     string
 		changed *string
-	}{{"name", r.cfg.Name, &cfg.Name}, {"listen", r.cfg.Listen, &cfg.Listen}} {
+	}{{"name", r.cfg.Name, &cfg.Name}, {"listen", r.cfg.Listen, &cfg.Listen},
+		{"flight sql listen", r.extra.flight.Listen, &e.flight.Listen}} {
 		if f.old != *f.changed {
 			kept, *f.changed = append(kept, f.name), f.old
 		}
 	}
+	if n := r.extra.flight.MaxConnections; e.flight.MaxConnections != n {
+		kept, e.flight.MaxConnections = append(kept, "flight sql max_connections"), n
+	}
 	limit(cfg)
 	r.net.SetMaxInbound(b.inbound)
 	r.front.Configure(b.mysql)
 	r.client.Configure(b.fetch)
 	if r.flightClient != nil {
 		r.flightClient.Configure(b.fetch.ConnectTimeoutMS)
+		r.speakFlight(e.flight.EngineKinds)
+	}
+	if r.bgp != nil {
+		r.bgp.Configure(e.neighbour)
 	}
 	r.board.Configure(cfg.Board, namesOf(cfg))
-	r.cfg = cfg
+	r.cfg, r.extra = cfg, e
 	r.log.Info("reloaded", "board", cfg.Board, "sockets", cfg.Limits.Sockets, "memory_mb", cfg.Limits.MemoryMB)
 	if len(kept) > 0 {
 		r.log.Warn("unchanged until a restart", "fields", kept)
@@ -287,6 +315,14 @@
 	return nil
 }
 
+// speakFlight has engines of these kinds reached over Flight SQL; attempts that are out go on as they are.
+func (r *node) speakFlight(kinds []string) {
+	r.clients.Kinds = map[string]router.EngineClient{}
+	for _, kind := range kinds {
+		r.clients.Kinds[kind] = r.flightClient
+	}
+}
+
 func (r *node) signal(s os.Signal) {
 	if s == syscall.SIGUSR1 {
 		r.printCounters("counters")
--- a/cmd/windflow/reload_test.go
+++ b/cmd/windflow/reload_test.go
@@ -12,6 +12,7 @@
 	"syscall"
 	"testing"
 
+	"windflow/internal/router"
 	"windflow/internal/settings"
 )
 
@@ -124,7 +125,9 @@
 		done := make(chan struct{})
 		n.loop.Post(func() {
 			n.log = slog.New(slog.NewTextHandler(&log, nil))
-			err = n.configure(cfg)
+			e := n.extra
+			e.flight.Listen, e.flight.EngineKinds = "127.0.0.1:2", []string{"std"}
+			err = n.configure(cfg, e)
 			close(done)
 		})
 		<-done
@@ -148,11 +151,16 @@
 	if err := configure(text(1024, strings.Replace(better, "at_most_once", "idempotent", 1))); err != nil {
 		t.Error(err)
 	}
-	for _, want := range []string{"reloaded", "classes[1]: effect", "listen"} {
+	for _, want := range []string{"reloaded", "classes[1]: effect", " listen", "flight sql listen"} {
 		if !strings.Contains(log.String(), want) {
 			t.Errorf("the log does not tell of %q: %s", want, log.String())
 		}
 	}
+	kinds := make(chan int, 1)
+	n.loop.Post(func() { kinds <- len(n.clients.Kinds) })
+	if got := <-kinds; got != 1 || n.clients.Kinds["std"] != router.EngineClient(n.flightClient) {
+		t.Errorf("%d kinds of engine speak Flight SQL", got)
+	}
 	if load, _ := n.core.Class("load"); load.Semantics != 2 {
 		t.Errorf("a reload made loads repeatable: %+v", load)
 	}
--- a/internal/bgp/speaker.go
+++ b/internal/bgp/speaker.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"reflect"
+	"slices"
 
 	"windflow/internal/netio"
 	"windflow/internal/router"
@@ -76,7 +78,7 @@
 	}
 	s.announce = on
 	if s.session != nil && s.session.state == Established {
-		s.session.advertise(on)
+		s.session.advertise(s.cfg, on)
 	}
 }
 
@@ -89,6 +91,33 @@
 	}
 }
 
+// Configure has the speaker go by another configuration. Other prefixes or another next hop are told in the session
+// that is up; what the session itself rests on needs a new one.
+func (s *Speaker) Configure(cfg Config) {
+	old := s.cfg
+	s.cfg = cfg
+	same := cfg
+	same.Prefixes, same.NextHop = old.Prefixes, old.NextHop
+	switch {
+	case !reflect.DeepEqual(same, old):
+		if s.session != nil {
+			s.session.end(&Notification{Code: 6, Subcode: 6}, "other configuration")
+		}
+		s.retry.Stop()
+		s.connect()
+	case s.session == nil || s.session.state != Established || !s.announce || reflect.DeepEqual(cfg, old):
+	default:
+		gone := old
+		gone.Prefixes = slices.DeleteFunc(slices.Clone(old.Prefixes), func(p netip.Prefix) bool {
+			return slices.Contains(cfg.Prefixes, p)
+		})
+		if len(gone.Prefixes) > 0 {
+			s.session.advertise(gone, false)
+		}
+		s.session.advertise(cfg, true) // takes the place of what was announced before
+	}
+}
+
 func (s *Speaker) connect() {
 	if s.stopped {
 		return
@@ -166,7 +195,7 @@
 		p.s.log.Info("bgp session established", "peer", p.s.cfg.Peer, "hold_ms", p.holdMS)
 		p.heard()
 		if p.s.announce {
-			p.advertise(true)
+			p.advertise(p.s.cfg, true)
 		}
 	case p.state == Established && kind == typeKeepalive:
 		p.heard()
@@ -211,14 +240,14 @@
 	}
 }
 
-func (p *session) advertise(on bool) {
+func (p *session) advertise(cfg Config, on bool) {
 	if on {
 		p.s.Counters.Announced++
 	} else {
 		p.s.Counters.Withdrawn++
 	}
-	p.s.log.Info("bgp update", "peer", p.s.cfg.Peer, "announce", on, "prefixes", p.s.cfg.Prefixes)
-	_ = p.conn.Write(encodeUpdate(p.s.cfg, p.fourB, !on))
+	p.s.log.Info("bgp update", "peer", p.s.cfg.Peer, "announce", on, "prefixes", cfg.Prefixes)
+	_ = p.conn.Write(encodeUpdate(cfg, p.fourB, !on))
 }
 
 // end closes the session, with a NOTIFICATION where there is one to send, and has it opened again later.
@@ -240,7 +269,7 @@
 		why += ": " + n.Error()
 	}
 	p.s.log.Warn("bgp session ended", "peer", p.s.cfg.Peer, "state", was.String(), "why", why)
-	p.conn.Close()
+	p.conn.Linger() // so that the neighbour can read why
 	p.s.session = nil
 	if !p.s.stopped {
 		p.s.retry = p.s.loop.After(float64(p.s.cfg.ConnectRetryS)*1000, p.s.connect)
--- a/internal/bgp/speaker_test.go
+++ b/internal/bgp/speaker_test.go
@@ -289,3 +289,34 @@
 		}
 	}
 }
+
+// A reload tells other prefixes in the session that is up, and opens a new one where the session's own terms change.
+func TestConfigure(t *testing.T) {
+	p := newPeer(t, testConfig())
+	p.speaker.Announce()
+	p.establish()
+	p.heard()
+	p.speaker.Configure(testConfig())
+	if got := p.heard(); got != "" {
+		t.Errorf("for the same configuration: %s", got)
+	}
+	cfg := testConfig()
+	cfg.Prefixes = []netip.Prefix{netip.MustParsePrefix("192.0.2.11/32")}
+	p.speaker.Configure(cfg)
+	if got, want := p.heard(), withdrawn+", "+strings.Replace(announced, "20c000020a", "20c000020b", 1); got != want {
+		t.Errorf("for another prefix: %s, want %s", got, want)
+	}
+	cfg.HoldTimeS = 30
+	p.speaker.Configure(cfg)
+	if got, want := p.heard(), "notification 0606"; got != want || p.dials != 2 {
+		t.Errorf("for another hold time: %s, %d dials", got, p.dials)
+	}
+	p.establish()
+	if got := p.heard(); !strings.Contains(got, "20c000020b") || p.speaker.State() != Established {
+		t.Errorf("in the new session: %s", got)
+	}
+	p.wait(6000)
+	if p.dials != 2 {
+		t.Errorf("%d dials", p.dials)
+	}
+}
