--- a/internal/mysql/session.go
+++ b/internal/mysql/session.go
@@ -26,6 +26,7 @@
 	askWithin    = 2200.0
 	packetWithin = 2000.0
 	idleFor      = 10_000.0
+	greetFor     = 50.0 // a login takes a round trip or two
 	sweepEvery   = 250.0
 )
 
@@ -72,14 +73,24 @@
 	f.loop.After(sweepEvery, f.sweep)
 }
 
-// evict ends the session that is missed least, to make room for a new one: of those that have not logged in the
-// oldest, else of those with nothing open the one that was quiet longest. It guards against connections that say
-// nothing, or that were used once and kept, shutting everybody else out.
+// evict ends the session that is missed least, to make room for a new one: of those that have had time to log in and
+// have not, the oldest; else of those with nothing open the one that was quiet longest; else the oldest that is about to
+// log in. It guards against connections that say nothing, or that were used once and kept, shutting everybody else out.
 func (f *Front) evict() bool {
 	var least *session
+	now := f.loop.Now()
+	rank := func(s *session) int {
+		switch {
+		case s.loggedIn:
+			return 1
+		case now-s.opened >= greetFor:
+			return 0
+		}
+		return 2 // in a crowd there is hardly another kind that has not logged in
+	}
 	before := func(a, b *session) bool {
-		if a.loggedIn != b.loggedIn {
-			return !a.loggedIn
+		if x, y := rank(a), rank(b); x != y {
+			return x < y
 		}
 		return a.since < b.since || a.since == b.since && a.id < b.id
 	}
