Wait at a start for a file that is being replaced and an address still in use

Checked: only run() exits with 1, over an error before the loop runs; a panic would be 2, a signal more than 128. Ruled out: crashes in the loop, memory (7 MB), descriptors (256 of 384).

What is left are the two errors that depend on the moment: the configuration read while it is being replaced, and the address not yet given up. Both are tried again for up to 2 s; a bad field still ends the program at once. A reload waits for a whole file in the same way.

--- a/cmd/windflow/main.go
+++ b/cmd/windflow/main.go
@@ -93,7 +93,7 @@
 	// Heard from the first on: a signal that comes before the router is ready waits, where its default would end it.
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
-	cfg, err := settings.ReadNode(path)
+	cfg, err := readConfig(path)
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
@@ -151,7 +151,11 @@
 		return nil, fmt.Errorf("field settings: %w", err)
 	}
 	r.front = mysql.NewFront(r.core, loop, b.mysql, r.status, log)
-	if r.net, err = netio.New(loop, cfg.Listen, r.front.Accept, log); err != nil {
+	err = retry(func() error {
+		r.net, err = netio.New(loop, cfg.Listen, r.front.Accept, log)
+		return err
+	})
+	if err != nil {
 		return nil, fmt.Errorf("field listen: %w", err)
 	}
 	r.net.SetMaxInbound(b.inbound)
@@ -252,7 +256,7 @@
 // reload reads the configuration again, and the files that the command line names, and hands them to the loop. One
 // that can't be used has nothing changed.
 func (r *node) reload(path string, opts options) {
-	cfg, err := settings.ReadNode(path)
+	cfg, err := readConfig(path)
 	var e extra
 	if err == nil {
 		e, err = opts.read()
--- /dev/null
+++ b/cmd/windflow/retry_test.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"log/slog"
+	"net"
+	"os"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"windflow/internal/settings"
+)
+
+// pauses replaces the sleep of retry for the test: between is called in its place, with the number of the pause.
+func pauses(t *testing.T, between func(n int)) *int {
+	t.Helper()
+	n := 0
+	sleep = func(time.Duration) { n++; between(n) }
+	t.Cleanup(func() { sleep = time.Sleep })
+	return &n
+}
+
+// A configuration that is being replaced is read once it is whole; one with a bad field is refused at once.
+func TestReadConfigWaitsForAWholeFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	n := pauses(t, func(n int) {
+		switch n {
+		case 1: // so far there was none
+			if err := os.WriteFile(path, []byte(`{"name":"n0","listen":"127.0.0.1:0","bo`), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		case 2:
+			writeConfig(t, path, "127.0.0.1:1", mixedSettings)
+		}
+	})
+	if cfg, err := readConfig(path); err != nil || cfg.Board != "127.0.0.1:1" || *n != 2 {
+		t.Errorf("%+v, %v after %d pauses", cfg, err, *n)
+	}
+	writeConfig(t, path, "nowhere", mixedSettings)
+	if _, err := readConfig(path); err == nil || *n != 2 {
+		t.Errorf("a bad field: %v after %d pauses", err, *n)
+	}
+	if err := os.Remove(path); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := readConfig(path); err == nil || *n != 2+patience-1 {
+		t.Errorf("no file at all: %v after %d pauses", err, *n)
+	}
+}
+
+// A router that starts before the one it replaces has given up its address waits for it.
+func TestStartWaitsForTheAddress(t *testing.T) {
+	before, err := net.Listen("tcp", "127.0.0.77:0") // where no other test takes the port in between
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	writeConfig(t, path, "127.0.0.1:1", mixedSettings)
+	cfg, err := settings.ReadNode(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	cfg.Listen = before.Addr().String()
+	n := pauses(t, func(n int) {
+		if n == 3 {
+			_ = before.Close()
+		}
+	})
+	r, err := start(cfg, options{}, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatalf("%v after %d pauses", err, *n)
+	}
+	r.close()
+	if *n < 3 {
+		t.Errorf("%d pauses", *n)
+	}
+}
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -68,6 +68,9 @@
 	return n, nil
 }
 
+// ErrNotJSON says that a text is no JSON, or not the whole of it.
+var ErrNotJSON = errors.New("not valid JSON")
+
 // Decode reads JSON and words an error in one line with the field that it is about.
 func Decode(text []byte, into any) error {
 	err := jsoniter.ConfigCompatibleWithStandardLibrary.Unmarshal(text, into)
@@ -80,7 +83,7 @@
 		return fmt.Errorf("field %s: a %s does not fit", te.Field, te.Value)
 	}
 	if !jsoniter.Valid(text) {
-		return errors.New("not valid JSON")
+		return ErrNotJSON
 	}
 	line, _, _ := strings.Cut(strings.ToValidUTF8(err.Error(), "?"), "\n")
 	return errors.New(line)
