--- a/brain/api.go
+++ b/brain/api.go
@@ -227,6 +227,12 @@
 // Abort says that the client left; no answer is owed.
 type Abort struct{ Request RequestID }
 
+// Exclude is an operator's word that an engine gets no new work until an Include, whatever the list says.
+type Exclude struct{ Engine EngineID }
+
+// Include ends an Exclude; the engine has been started anew meanwhile.
+type Include struct{ Engine EngineID }
+
 // Timer is a timer set earlier by SetTimer.
 type Timer struct{ Tag int64 }
 
@@ -243,6 +249,8 @@
 func (AttemptEnd) event()  {}
 func (StreamStart) event() {}
 func (Abort) event()       {}
+func (Exclude) event()     {}
+func (Include) event()     {}
 func (Timer) event()       {}
 func (ProbeResult) event() {}
 
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -161,7 +161,23 @@
 		c.chill(e, entry.Born)
 	}
 	e.Engine = entry
-	e.listed = entry.State == Live
+	c.ids.named(entry.ID)
+	e.listed = entry.State == Live && !c.Excluded(entry.ID)
+}
+
+// exclude keeps work from an engine, or ends that: it has started anew by then, and is owed a first query.
+func (c *Controller) exclude(id EngineID, on bool) {
+	if !c.Knows(id) || c.Excluded(id) == on {
+		return
+	}
+	c.ids.excluded[id] = on
+	if e := c.byID[id]; e != nil {
+		e.listed, e.owed = e.State == Live && !on, !on
+		c.chill(e, c.now)
+		e.lost, e.fullAt = 0, 0
+		c.relist()
+		c.release()
+	}
 }
 
 // chill treats an engine as just started: its history is void.
@@ -375,6 +391,7 @@
 	case Served:
 		c.blame(e, 0, failGain)
 		c.breaks(0)
+		e.owed = false
 		if e.lost >= downAfter {
 			c.chill(e, c.now)
 		}
@@ -627,6 +644,9 @@
 	if c.clash(e, r) {
 		scale *= failWeight
 	}
+	if e.owed && len(e.running) == 0 {
+		scale /= failWeight
+	}
 	for _, a := range r.attempts {
 		if a.e == e {
 			scale *= failWeight
--- a/brain/rules_test.go
+++ b/brain/rules_test.go
@@ -325,3 +325,73 @@
 		}
 	}
 }
+
+// An engine that an operator excludes gets nothing until the word back, whatever the list says meanwhile, a restart
+// included. Then it counts as cold and yet gets a query while others are idle. Repeats change nothing, and an id that
+// was once listed stays known.
+func TestExcludeHoldsUntilInclude(t *testing.T) {
+	cfg := twoClasses()
+	cfg.ColdFor, cfg.ColdFrom, cfg.OverloadFactor, cfg.OverloadFor = 12*time.Second, 0.36, 2, 1500*ms
+	w := newWorld(t, cfg)
+	w.list(ListFull, engines(4)...)
+	w.tick(20 * time.Second)
+	sent := func(n int) (to3 int) {
+		for range n {
+			tr := w.ask("quick", "")
+			w.tick(20 * ms)
+			for hop, id := range tr.engines {
+				if id == 3 {
+					to3++
+				}
+				if tr.outcome[hop] == isOut {
+					w.endHop(tr, hop, Served, nil)
+				}
+			}
+			w.tick(20 * ms)
+		}
+		return to3
+	}
+	if sent(60) == 0 {
+		t.Error("engine 3 was never used")
+	}
+	if w.handle(Exclude{Engine: 9}); w.c.Knows(9) || w.c.Avoided(w.now) != 0 {
+		t.Error("an engine that was never listed was excluded")
+	}
+	back := engines(4)[2]
+	for _, word := range []func(){
+		func() { w.handle(Exclude{Engine: 3}) },
+		func() { w.handle(Exclude{Engine: 3}) },
+		func() { back.State = Gone; w.list(ListChanges, back) },
+		func() { back.State, back.Born = Live, w.now; w.list(ListChanges, back) },
+		func() { w.list(ListFull, engines(4)...) },
+	} {
+		if word(); sent(40) != 0 {
+			t.Fatal("an excluded engine got work")
+		}
+	}
+	if n := w.c.Avoided(w.now); n != 1 {
+		t.Errorf("%d engines are avoided", n)
+	}
+	w.handle(Include{Engine: 3})
+	if e := w.c.byID[3]; e.warmAt <= w.now || sent(20) == 0 {
+		t.Errorf("after the word back: warm at %v of %v, or no work in 0.8 s", e.warmAt, w.now)
+	}
+	back.State = Gone
+	w.list(ListChanges, back)
+	if !w.c.Knows(3) || w.c.Excluded(3) {
+		t.Error("an engine that has gone is not known any more, or excluded")
+	}
+}
+
+// The ids that were listed are remembered within a bound, the excluded ones for good.
+func TestIDsAreBounded(t *testing.T) {
+	w := newWorld(t, twoClasses())
+	w.list(ListFull, engines(2)...)
+	w.handle(Exclude{Engine: 1})
+	for i := range maxIDs + 10 {
+		w.c.ids.named(EngineID(100 + i))
+	}
+	if n := len(w.c.ids.excluded); n != maxIDs || len(w.c.ids.order) != maxIDs || !w.c.Excluded(1) || w.c.Knows(2) {
+		t.Errorf("%d ids are remembered, at most %d should be; 1 is excluded: %v", n, maxIDs, w.c.Excluded(1))
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -38,7 +38,8 @@
 type engine struct {
 	Engine
 	cores, memory    float64
-	listed           bool
+	listed           bool // live, and not excluded
+	owed             bool // included again, and not sent anything since
 	coldAt, warmAt   time.Duration
 	lost             int // attempts in a row that met no connection, or lost it
 	running          []*attempt
@@ -106,6 +107,7 @@
 	tenants                map[string]*tenant
 	engines                []*engine
 	byID                   map[EngineID]*engine
+	ids                    ids // that a list has named, and which of them are excluded
 	requests               map[RequestID]*request
 	open                   []*request
 	keys                   map[string]*keyLine
@@ -142,7 +144,7 @@
 	}
 	c := &Controller{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Instance))),
 		tenants: map[string]*tenant{}, byID: map[EngineID]*engine{}, requests: map[RequestID]*request{},
-		keys: map[string]*keyLine{}}
+		keys: map[string]*keyLine{}, ids: ids{excluded: map[EngineID]bool{}}}
 	for _, k := range cfg.Classes {
 		k.Threads = max(k.Threads, 1)
 		cl := &class{Class: k, estMean: 1, grantFix: 1, mean: firstGuess(k)}
@@ -245,6 +247,10 @@
 		if a := c.attempt(ev.Request, ev.Attempt); a != nil {
 			a.streaming, a.r.end = true, math.MaxInt64
 		}
+	case Exclude:
+		c.exclude(ev.Engine, true)
+	case Include:
+		c.exclude(ev.Engine, false)
 	case Abort:
 		if r := c.requests[ev.Request]; r != nil {
 			c.finish(r)
@@ -367,6 +373,52 @@
 	return n
 }
 
+// ids remembers the engines that a list has named, the latest maxIDs of them and all that are excluded.
+type ids struct {
+	excluded map[EngineID]bool // of all remembered ones
+	order    []EngineID
+}
+
+// maxIDs is some days of engines.
+const maxIDs = 8192
+
+// named notes that a list names an engine.
+func (k *ids) named(id EngineID) {
+	if _, known := k.excluded[id]; known {
+		return
+	}
+	if len(k.order) >= maxIDs {
+		if i := slices.IndexFunc(k.order, func(old EngineID) bool { return !k.excluded[old] }); i >= 0 {
+			delete(k.excluded, k.order[i])
+			k.order = slices.Delete(k.order, i, i+1)
+		}
+	}
+	k.excluded[id] = false
+	k.order = append(k.order, id)
+}
+
+// Knows tells whether a list has named an engine.
+func (c *Controller) Knows(id EngineID) bool {
+	_, known := c.ids.excluded[id]
+	return known
+}
+
+// Excluded tells whether an engine gets no work by an operator's word.
+func (c *Controller) Excluded(id EngineID) bool { return c.ids.excluded[id] }
+
+// Avoided counts the engines in the list that get no ordinary work at that time: they drain, are excluded,
+// fail or are down.
+func (c *Controller) Avoided(now time.Duration) int {
+	c.now = max(c.now, now)
+	n := 0
+	for _, e := range c.engines {
+		if e.State != Gone && (!e.listed || e.lost >= downAfter || c.failing(e) >= ejectAt) {
+			n++
+		}
+	}
+	return n
+}
+
 // fade is what is left of evidence from a time on, at a life in which it falls to 1/e.
 func (c *Controller) fade(at, life time.Duration) float64 {
 	return math.Exp(-(c.now - at).Seconds() / life.Seconds())
--- a/cmd/windflow/main.go
+++ b/cmd/windflow/main.go
@@ -17,6 +17,7 @@
 	"windflow/internal/bgp"
 	"windflow/internal/board"
 	"windflow/internal/clock"
+	"windflow/internal/control"
 	"windflow/internal/fetch"
 	"windflow/internal/flightsql"
 	"windflow/internal/mysql"
@@ -170,6 +171,10 @@
 		}
 		log.Info("flight sql front", "listen", r.flight.Addr(), "engine_kinds", flight.EngineKinds)
 	}
+	if err := r.openDoor(); err != nil {
+		r.close()
+		return nil, err
+	}
 	// The poller is up and may have posted connections; they are handled when the loop runs, after this.
 	r.core.Engines(known.Events, known.Addrs)
 	r.board = board.Follow(loop, r.net, cfg.Board, namesOf(cfg), last,
@@ -178,6 +183,7 @@
 		r.bgp = bgp.Start(loop, r.net, extra.neighbour, log)
 		r.bgp.Announce()
 	}
+	r.ready = true
 	log.Info("ready", "listen", r.net.Addr(), "engines", len(known.Events.Engines), "last_event", last)
 	return r, nil
 }
@@ -246,7 +252,9 @@
 	board        *board.Follower
 	flight       *flightsql.Front // nil unless turned on
 	flightClient *flightsql.Client
-	bgp          *bgp.Speaker // nil unless turned on
+	bgp          *bgp.Speaker  // nil unless turned on
+	door         *control.Door // nil unless turned on
+	ready        bool          // it serves, or did
 	stop         chan struct{}
 	stopping     sync.Once
 	draining     bool
@@ -290,7 +298,7 @@
 		name    string
 		old     string
 		changed *string
-	}{{"name", r.cfg.Name, &cfg.Name}, {"listen", r.cfg.Listen, &cfg.Listen},
+	}{{"name", r.cfg.Name, &cfg.Name}, {"listen", r.cfg.Listen, &cfg.Listen}, {"control", r.cfg.Control, &cfg.Control},
 		{"flight sql listen", r.extra.flight.Listen, &e.flight.Listen}} {
 		if f.old != *f.changed {
 			kept, *f.changed = append(kept, f.name), f.old
--- a/cmd/windflow/retry.go
+++ b/cmd/windflow/retry.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"io/fs"
+	"os"
 	"syscall"
 	"time"
 
@@ -37,5 +38,8 @@
 		cfg, err = settings.ReadNode(path)
 		return err
 	})
+	if err == nil && cfg.Control == "" {
+		cfg.Control = os.Getenv("PROXY_CONTROL")
+	}
 	return cfg, err
 }
--- a/cmd/windflow/status.go
+++ b/cmd/windflow/status.go
@@ -30,6 +30,9 @@
 		parts = append(parts, part{"flightsql", &r.flight.Counters},
 			part{"flightsql_engines", &r.flightClient.Counters})
 	}
+	if r.door != nil {
+		parts = append(parts, part{"control", &r.door.Counters})
+	}
 	if r.bgp != nil {
 		parts = append(parts, part{"bgp", &r.bgp.Counters})
 	}
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -92,7 +92,7 @@
 		}
 		for j, m := range n.Pool.Members {
 			field := fmt.Sprintf("notices[%d].pool.members[%d]", i, j)
-			id, err := parseID(m.ID)
+			id, err := ParseID(m.ID)
 			if err != nil {
 				return l, 0, fmt.Errorf("%s.id: %w", field, err)
 			}
@@ -117,7 +117,8 @@
 	return l, known.Rev, nil
 }
 
-func parseID(s string) (brain.EngineID, error) {
+// ParseID reads an engine's id as it stands in text.
+func ParseID(s string) (brain.EngineID, error) {
 	hex, ok := strings.CutPrefix(s, "s-")
 	n, err := strconv.ParseUint(hex, 16, 32)
 	if !ok || err != nil || len(hex) != 8 {
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -108,8 +108,9 @@
 	e.d.written = append(e.d.written, hex.EncodeToString(b))
 	return nil
 }
-func (e *end) Close()  {}
-func (e *end) Linger() {}
+func (e *end) Close()           {}
+func (e *end) Linger()          {}
+func (e *end) Flushed(f func()) { f() }
 
 // A bad frame, a gap or silence ends the link, keeps the list, and the next link goes on from the last good
 // event.
--- /dev/null
+++ b/internal/control/door.go
@@ -0,0 +1,194 @@
+// Package control is the operators' door: a small HTTP/1.1 server in the router's loop, with one call to a connection.
+// It tells whether the router is ready and how it does, and bans engines by hand. It knows none of that itself.
+package control
+
+import (
+	"fmt"
+	"log/slog"
+	"net"
+	"strings"
+
+	"windflow/internal/netio"
+	"windflow/internal/router"
+)
+
+// Operators is what the door opens to; all of it is called in the loop.
+type Operators interface {
+	// Ready is nil while the router serves; else its text says why not.
+	Ready() error
+	// Telemetry gives the figures, a line each.
+	Telemetry() string
+	// Exclude and Include say no to an id that no list of engines has named.
+	Exclude(id string) bool
+	Include(id string) bool
+}
+
+const (
+	// maxCallers bounds the connections; past it, the caller that has said least for longest makes room. It guards
+	// against callers that connect and stay silent: they would shut the others out.
+	maxCallers = 16
+	// callWithin is how long a caller has for its call, in milliseconds.
+	callWithin = 3000.0
+)
+
+// Counters count the calls by their answers, and the callers that gave none.
+type Counters struct{ Calls, Answered, Denied, Malformed, TimedOut, Evicted int64 }
+
+// Door answers operators.
+type Door struct {
+	loop     *router.Loop
+	ops      Operators
+	log      *slog.Logger
+	listener *netio.Listener
+	callers  map[*caller]bool
+	seq      int64
+	Counters Counters
+}
+
+// Open opens a door on a listener, which it takes over.
+func Open(loop *router.Loop, n *netio.Net, lis net.Listener, ops Operators, log *slog.Logger) *Door {
+	d := newDoor(loop, ops, log)
+	d.listener = n.Serve(lis, d.accept)
+	return d
+}
+
+func newDoor(loop *router.Loop, ops Operators, log *slog.Logger) *Door {
+	return &Door{loop: loop, ops: ops, log: log, callers: map[*caller]bool{}}
+}
+
+// Addr is where the door listens.
+func (d *Door) Addr() string { return d.listener.Addr() }
+
+// Close closes the door to new callers; those that are inside are answered.
+func (d *Door) Close() { d.listener.Close() }
+
+func (d *Door) accept() netio.Handler { return &caller{door: d} }
+
+// caller is one connection.
+type caller struct {
+	door  *Door
+	conn  netio.Conn
+	buf   []byte
+	seq   int64 // callers are numbered as they come
+	timer *router.Timer
+	over  bool
+}
+
+// Opened implements netio.Handler.
+func (c *caller) Opened(conn netio.Conn) {
+	d := c.door
+	c.conn = conn
+	d.seq++
+	c.seq = d.seq
+	if len(d.callers) >= maxCallers {
+		d.evict()
+	}
+	d.callers[c] = true
+	c.timer = d.loop.After(callWithin, func() {
+		d.Counters.TimedOut++
+		c.answer(408, "the call did not come whole")
+	})
+}
+
+// evict closes the caller that has sent the least, the oldest of those.
+func (d *Door) evict() {
+	var least *caller
+	for c := range d.callers {
+		if least == nil || len(c.buf) < len(least.buf) || len(c.buf) == len(least.buf) && c.seq < least.seq {
+			least = c
+		}
+	}
+	d.Counters.Evicted++
+	least.leave()
+	least.conn.Close()
+}
+
+// Data implements netio.Handler.
+func (c *caller) Data(b []byte, _ float64) {
+	if c.over {
+		return
+	}
+	c.buf = append(c.buf, b...)
+	k, err := parseCall(c.buf)
+	switch {
+	case err == errTooLong:
+		c.door.Counters.Malformed++
+		c.answer(413, err.Error())
+	case err != nil:
+		c.door.Counters.Malformed++
+		c.answer(400, err.Error())
+	case k != nil:
+		c.door.Counters.Calls++
+		code, text := c.door.carryOut(k)
+		if code < 300 {
+			c.door.Counters.Answered++
+		} else {
+			c.door.Counters.Denied++
+		}
+		c.answer(code, text)
+	}
+}
+
+// Closed implements netio.Handler.
+func (c *caller) Closed(error) { c.leave() }
+
+func (c *caller) leave() {
+	c.over, c.buf = true, nil
+	c.timer.Stop()
+	delete(c.door.callers, c)
+}
+
+var reasons = map[int]string{200: "OK", 400: "Bad Request", 404: "Not Found", 405: "Method Not Allowed",
+	408: "Request Timeout", 413: "Content Too Large", 503: "Service Unavailable"}
+
+// answer writes the one answer and closes once the caller has had time to read it.
+func (c *caller) answer(code int, text string) {
+	if c.over {
+		return
+	}
+	if !strings.HasSuffix(text, "\n") {
+		text += "\n"
+	}
+	allow := ""
+	if code == 405 {
+		allow, text = "Allow: "+strings.TrimSpace(text)+"\r\n", "method not allowed\n"
+	}
+	c.leave()
+	_ = c.conn.Write(fmt.Appendf(nil, "HTTP/1.1 %d %s\r\nContent-Type: text/plain; charset=utf-8\r\n%sContent-Length: %d\r\nConnection: close\r\n\r\n%s",
+		code, reasons[code], allow, len(text), text))
+	if code < 400 {
+		c.conn.Close() // the call has been read whole
+		return
+	}
+	c.conn.Linger()
+}
+
+// carryOut does what a call asks. With 405 the text is the method that is allowed.
+func (d *Door) carryOut(k *call) (code int, text string) {
+	orders := map[string]func(string) bool{"/api/exclude/": d.ops.Exclude, "/api/include/": d.ops.Include}
+	for prefix, order := range orders {
+		id, ok := strings.CutPrefix(k.path, prefix)
+		switch {
+		case !ok:
+			continue
+		case k.method != "POST":
+			return 405, "POST"
+		case !order(id):
+			return 404, "no engine of that id was ever listed"
+		}
+		d.log.Info("operator's call", "path", k.path)
+		return 200, "done"
+	}
+	switch {
+	case k.path != "/api/ready" && k.path != "/api/telemetry":
+		return 404, "there is /api/ready, /api/telemetry, /api/exclude/ID and /api/include/ID"
+	case k.method != "GET":
+		return 405, "GET"
+	case k.path == "/api/telemetry":
+		return 200, d.ops.Telemetry()
+	}
+	if err := d.ops.Ready(); err != nil {
+		return 503, err.Error()
+	}
+	return 200, "ready"
+}
--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -75,7 +75,7 @@
 // New returns a client.
 func New(loop *router.Loop, dialer netio.Dialer, cfg Config, log *slog.Logger) *Client {
 	c := &Client{loop: loop, dialer: dialer, log: log}
-	c.pool = &pool{client: c, idle: map[brain.EngineID][]*conn{}}
+	c.pool = &pool{client: c, idle: map[brain.EngineID][]*conn{}, dialing: map[*conn]bool{}}
 	c.Configure(cfg)
 	c.sweep()
 	return c
@@ -99,6 +99,9 @@
 // Forget implements router.EngineClient.
 func (c *Client) Forget(e router.Engine) { c.pool.forget(e.ID) }
 
+// Withhold implements router.EngineClient.
+func (c *Client) Withhold(e router.Engine) { c.pool.withhold(e.ID) }
+
 // call is one HTTP request.
 type call struct {
 	engine  router.Engine
@@ -108,7 +111,8 @@
 	later   bool // it may wait behind the others
 	begins  bool // it starts the statement
 	once    bool // its last byte is held back; see holdBack
-	written bool
+	begun   bool // some of it was written
+	written bool // all of it was
 	done    bool
 	conn    *conn
 	timer   *router.Timer // from when it was written
@@ -133,6 +137,9 @@
 	k.written = true
 	if k.begins {
 		k.about.last = c.loop.Now()
+		if k.about.call.Wrote != nil {
+			k.conn.c.Flushed(k.about.call.Wrote)
+		}
 	}
 	k.timer = c.loop.After(answerWithin, func() {
 		c.Counters.Silent++
--- a/internal/fetch/fetch_test.go
+++ b/internal/fetch/fetch_test.go
@@ -55,7 +55,8 @@
 	return nil
 }
 
-func (l *link) Linger() { l.Close() }
+func (l *link) Linger()          { l.Close() }
+func (l *link) Flushed(f func()) { f() }
 
 func (l *link) Close() {
 	if !l.closed {
@@ -89,7 +90,7 @@
 //	N TEXT                 the engine's bytes on connection N; \r\n as usual
 //	N close                the engine closes it
 //	drop, cancel, rank P   the oldest attempt is dropped, or cancelled; its priority changes
-//	forget                 the engine is gone
+//	forget, withhold       the engine is gone, or gets nothing more
 //	wait MS                time passes
 func (s *stage) play(line string) string {
 	word, rest, _ := strings.Cut(line, " ")
@@ -104,7 +105,8 @@
 	switch word {
 	case "start":
 		s.attempts = append(s.attempts, s.client.Start(router.Call{Engine: engine, ID: "9b1f03aa5c7e2d41",
-			Class: "lookup", Statement: "SELECT 1", WaitMS: 1500.7, GrantMB: 96.2, Priority: 2, Once: rest == "once"},
+			Class: "lookup", Statement: "SELECT 1", WaitMS: 1500.7, GrantMB: 96.2, Priority: 2, Once: rest == "once",
+			Wrote: func() { s.out.WriteString("  written whole\n") }},
 			func(e router.End) {
 				fmt.Fprintf(&s.out, "  = %s", outcomes[e.Outcome])
 				if e.Result != nil {
@@ -134,6 +136,8 @@
 		s.attempts[0].SetPriority(number(rest))
 	case "forget":
 		s.client.Forget(engine)
+	case "withhold":
+		s.client.Withhold(engine)
 	default:
 		l := s.links[number(word)-1]
 		if rest == "close" {
--- a/internal/fetch/pool.go
+++ b/internal/fetch/pool.go
@@ -29,7 +29,8 @@
 	max     int
 	total   int
 	idle    map[brain.EngineID][]*conn // latest used last
-	waiting []*call                    // those that may wait behind the others last
+	dialing map[*conn]bool
+	waiting []*call // those that may wait behind the others last
 }
 
 // submit has a call written to its engine: on an idle connection, a new one, or once one is free.
@@ -80,6 +81,7 @@
 	p.client.Counters.Dials++
 	k := &conn{pool: p, engine: c.engine, call: c}
 	c.conn = k
+	p.dialing[k] = true
 	k.c = p.client.dialer.Dial(c.engine.Addr, p.client.connectTimeout, k)
 }
 
@@ -129,9 +131,27 @@
 	}
 }
 
+var errWithheld = errors.New("the engine gets nothing more, by an operator's word")
+
+// withhold ends the calls that would start a statement on an engine and of which nothing was written. It guards
+// against work that reaches an engine after its ban was confirmed: calls wait for a connection, or for it to come up.
+func (p *pool) withhold(id brain.EngineID) {
+	calls := slices.Clone(p.waiting)
+	for k := range p.dialing {
+		if k.call != nil {
+			calls = append(calls, k.call)
+		}
+	}
+	for _, c := range calls {
+		if c.engine.ID == id && c.begins && !c.begun {
+			c.abort(errWithheld)
+		}
+	}
+}
+
 // start writes a call.
 func (k *conn) start(c *call) {
-	k.call, k.about, c.conn = c, c.about, k
+	k.call, k.about, c.conn, c.begun = c, c.about, k, true
 	k.before = 0
 	if !c.once {
 		k.write(c, c.text)
@@ -161,6 +181,7 @@
 // Opened implements netio.Handler.
 func (k *conn) Opened(c netio.Conn) {
 	k.c, k.up, k.heard = c, true, k.pool.client.loop.Now()
+	delete(k.pool.dialing, k)
 	if k.call == nil || k.call.done { // given up while it came up
 		k.free()
 		return
@@ -251,6 +272,7 @@
 	k.dead = true
 	k.call = nil
 	p := k.pool
+	delete(p.dialing, k)
 	p.total--
 	p.takeIdle(k)
 	if k.c != nil {
--- a/internal/flightsql/client.go
+++ b/internal/flightsql/client.go
@@ -36,6 +36,7 @@
 	log            *slog.Logger
 	connectTimeout atomic.Int64                        // a time.Duration; dials read it in goroutines of their own
 	shared         map[brain.EngineID]*grpc.ClientConn // for what may run twice
+	out            map[*attempt]bool                   // touched in the loop only
 	own            chan struct{}                       // holds one for each connection of what must not
 	Counters       ClientCounters
 }
@@ -49,7 +50,8 @@
 // NewClient returns a client that keeps at most maxOwn connections of their own for what must not run twice;
 // further ones wait their turn, unwritten.
 func NewClient(loop *router.Loop, connectTimeoutMS float64, maxOwn int, log *slog.Logger) *Client {
-	c := &Client{loop: loop, log: log, shared: map[brain.EngineID]*grpc.ClientConn{}, own: make(chan struct{}, maxOwn)}
+	c := &Client{loop: loop, log: log, shared: map[brain.EngineID]*grpc.ClientConn{},
+		out: map[*attempt]bool{}, own: make(chan struct{}, maxOwn)}
 	c.Configure(connectTimeoutMS)
 	return c
 }
@@ -67,8 +69,19 @@
 	}
 }
 
+// Withhold implements router.EngineClient.
+func (c *Client) Withhold(e router.Engine) {
+	for a := range c.out {
+		if a.engine == e.ID && a.watch.withhold() {
+			a.cancel()
+		}
+	}
+}
+
 // attempt is one call that is out.
 type attempt struct {
+	engine  brain.EngineID
+	watch   *watch
 	cancel  context.CancelFunc
 	dropped bool // touched in the loop only
 }
@@ -88,8 +101,13 @@
 // Start implements router.EngineClient.
 func (c *Client) Start(call router.Call, done func(router.End)) router.Attempt {
 	ctx, cancel := context.WithTimeout(context.Background(), clock.Duration(call.WaitMS))
-	a := &attempt{cancel: cancel}
-	w := &watch{cancel: cancel}
+	w := &watch{cancel: cancel, wrote: func() {
+		if call.Wrote != nil {
+			c.loop.Post(call.Wrote)
+		}
+	}}
+	a := &attempt{engine: call.Engine.ID, watch: w, cancel: cancel}
+	c.out[a] = true
 	ctx = context.WithValue(ctx, watchKey{}, w)
 	ctx = metadata.AppendToOutgoingContext(ctx, router.FieldID, call.ID, router.FieldClass, call.Class,
 		router.FieldBudget, strconv.FormatFloat(call.WaitMS, 'f', 0, 64),
@@ -111,6 +129,7 @@
 
 func (c *Client) finish(a *attempt, done func(router.End), end router.End) {
 	a.cancel()
+	delete(c.out, a)
 	if !a.dropped {
 		a.dropped = true
 		done(end)
@@ -193,7 +212,7 @@
 	switch {
 	case errors.Is(err, errBad):
 		return brain.Errored
-	case !w.written.Load():
+	case !w.written():
 		return brain.ConnectFailed
 	case len(trailer.Get(metaNotBegun)) == 1 && trailer.Get(metaNotBegun)[0] == "1" &&
 		(code == codes.Unavailable || code == codes.ResourceExhausted || code == codes.DeadlineExceeded):
@@ -356,10 +375,22 @@
 // watch follows the calls of one attempt.
 type watch struct {
 	cancel   context.CancelFunc
-	written  atomic.Bool
+	wrote    func() // the first message has been written
+	state    atomic.Int32
+	told     atomic.Bool
 	repeated atomic.Bool
 }
 
+// States of a watch. What an operator withholds while nothing of it has been written is cut off as it begins.
+const (
+	unwritten = iota
+	written
+	withheld
+)
+
+func (w *watch) withhold() bool { return w.state.CompareAndSwap(unwritten, withheld) }
+func (w *watch) written() bool  { return w.state.Load() == written }
+
 type watchKey struct{}
 
 // watcher is the stats handler that feeds watches. With retries off, gRPC still repeats a call transparently
@@ -375,12 +406,18 @@
 	}
 	switch s := s.(type) {
 	case *stats.Begin:
-		if s.IsTransparentRetryAttempt && w.written.Load() {
+		if s.IsTransparentRetryAttempt && w.written() {
 			w.repeated.Store(true)
 			w.cancel()
 		}
 	case *stats.OutHeader:
-		w.written.Store(true)
+		if !w.state.CompareAndSwap(unwritten, written) && w.state.Load() == withheld {
+			w.cancel()
+		}
+	case *stats.OutPayload:
+		if !w.told.Swap(true) {
+			w.wrote()
+		}
 	}
 }
 func (watcher) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
--- a/internal/flightsql/front_test.go
+++ b/internal/flightsql/front_test.go
@@ -36,7 +36,8 @@
 	runs map[string]int
 }
 
-func (e *engines) Forget(router.Engine) {}
+func (e *engines) Forget(router.Engine)   {}
+func (e *engines) Withhold(router.Engine) {}
 func (e *engines) Start(c router.Call, done func(router.End)) router.Attempt {
 	e.mu.Lock()
 	e.runs[c.ID]++
--- a/internal/mysql/session_test.go
+++ b/internal/mysql/session_test.go
@@ -26,7 +26,8 @@
 	e.calls, e.done = append(e.calls, c), append(e.done, done)
 	return out{}
 }
-func (e *engine) Forget(router.Engine) {}
+func (e *engine) Forget(router.Engine)   {}
+func (e *engine) Withhold(router.Engine) {}
 
 type out struct{}
 
@@ -46,8 +47,9 @@
 	}
 	return nil
 }
-func (w *wire) Close()  { w.closed = true }
-func (w *wire) Linger() { w.closed = true }
+func (w *wire) Close()           { w.closed = true }
+func (w *wire) Linger()          { w.closed = true }
+func (w *wire) Flushed(f func()) { f() }
 
 // stage plays an exchange: sessions by name on one front, on a clock that the exchange sets.
 type stage struct {
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"net"
 	"os"
+	"reflect"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -31,6 +32,9 @@
 	// Linger closes once the peer has had time to read what was written: until then, what it still sends is read
 	// and dropped. Data is not heard any more.
 	Linger()
+	// Flushed has f run in the loop once all that was written has left for the peer, which may be at once. It is
+	// never run if the connection ends before.
+	Flushed(f func())
 }
 
 // Handler hears of a connection, always in the loop's goroutine. Closed is the last call; it is made also
@@ -73,12 +77,9 @@
 	engine *nbio.Engine
 	log    *slog.Logger
 
-	listener  net.Listener // nil where it only dials
-	accepting sync.WaitGroup
-
-	unsettled chan struct{} // holds one for each connection that the loop has not heard of yet
-	done      chan struct{} // closed by Stop
-	lingering int           // touched in the loop only
+	listener  *Listener // that of New; nil where it only dials
+	done      chan struct{}
+	lingering int // touched in the loop only
 
 	mu         sync.Mutex
 	drained    *sync.Cond
@@ -86,28 +87,24 @@
 	maxInbound int
 	stopped    bool
 	dropping   map[*nbio.Conn]int // the bytes that connections in a Linger may still send
+	listeners  []*Listener
 }
 
 // New starts a poller. Where listen is not empty, accept gives each new connection's handler.
 func New(loop *router.Loop, listen string, accept func() Handler, log *slog.Logger) (*Net, error) {
 	pollerLog.Store(log)
-	n := &Net{loop: loop, log: log, maxInbound: maxInbound, unsettled: make(chan struct{}, maxUnsettled),
-		done: make(chan struct{}), dropping: map[*nbio.Conn]int{}}
+	n := &Net{loop: loop, log: log, maxInbound: maxInbound, done: make(chan struct{}), dropping: map[*nbio.Conn]int{}}
 	n.drained = sync.NewCond(&n.mu)
 	n.engine = nbio.NewEngine(nbio.Config{Name: "windflow", Network: "tcp", NPoller: 1,
 		ReadBufferSize: readBuffer, MaxWriteBufferSize: maxUnwritten})
 	n.engine.OnOpen(func(c *nbio.Conn) {
-		if c.Session() != nil {
-			return // a connection that Dial opened
+		if s, ok := c.Session().(*socket); ok && s.from != nil {
+			loop.Post(func() {
+				<-s.from.unsettled
+				s.h = s.from.accept()
+				s.h.Opened(s)
+			})
 		}
-		s := &socket{net: n, c: c}
-		c.SetSession(s)
-		_ = c.SetNoDelay(true)
-		loop.Post(func() {
-			<-n.unsettled
-			s.h = accept()
-			s.h.Opened(s)
-		})
 	})
 	n.engine.OnData(func(c *nbio.Conn, b []byte) {
 		s, ok := c.Session().(*socket)
@@ -133,21 +130,26 @@
 		}
 		loop.Post(func() { s.shut(err) })
 	})
+	n.engine.OnWrittenSize(func(c *nbio.Conn, _ []byte, _ int) {
+		if s, ok := c.Session().(*socket); ok && s.unflushed.Load() {
+			loop.Post(s.flush)
+		}
+	})
+	var lis net.Listener
 	if listen != "" {
 		var err error
-		if n.listener, err = net.Listen("tcp", listen); err != nil {
+		if lis, err = net.Listen("tcp", listen); err != nil {
 			return nil, err
 		}
 	}
 	if err := n.engine.Start(); err != nil {
-		if n.listener != nil {
-			_ = n.listener.Close()
+		if lis != nil {
+			_ = lis.Close()
 		}
 		return nil, err
 	}
-	if n.listener != nil {
-		n.accepting.Add(1)
-		go n.serve()
+	if lis != nil {
+		n.listener = n.Serve(lis, accept)
 	}
 	return n, nil
 }
@@ -157,7 +159,42 @@
 	if n.listener == nil {
 		return ""
 	}
-	return n.listener.Addr().String()
+	return n.listener.Addr()
+}
+
+// Listener accepts connections until it is closed. Each has a bound of its own on those that the loop has not heard of
+// yet, so that a flood on one does not hold up another.
+type Listener struct {
+	net       *Net
+	lis       net.Listener
+	accept    func() Handler
+	unsettled chan struct{} // holds one for each connection that the loop has not heard of yet
+	done      chan struct{}
+	closing   sync.Once
+	ended     chan struct{}
+}
+
+// Serve accepts on a listener, which it takes over; accept gives each new connection's handler.
+func (n *Net) Serve(lis net.Listener, accept func() Handler) *Listener {
+	l := &Listener{net: n, lis: lis, accept: accept, unsettled: make(chan struct{}, maxUnsettled),
+		done: make(chan struct{}), ended: make(chan struct{})}
+	n.mu.Lock()
+	n.listeners = append(n.listeners, l)
+	n.mu.Unlock()
+	go l.serve()
+	return l
+}
+
+// Addr is where it listens.
+func (l *Listener) Addr() string { return l.lis.Addr().String() }
+
+// Close stops accepting; the loop hears of all that was accepted before. The socket itself is closed, never shut down:
+// another process may accept from the same queue.
+func (l *Listener) Close() {
+	l.closing.Do(func() {
+		close(l.done)
+		_ = l.lis.Close()
+	})
 }
 
 // acceptPause is how long serve waits after a failed accept: short of descriptors, every call fails at once.
@@ -167,45 +204,60 @@
 //
 // nbio's own acceptor is not used: it clears its stop mark as it comes up, so that a stop right after the start
 // is lost, and then, as on any other error of accept, it tries again without a pause and logs each failure.
-func (n *Net) serve() {
-	defer n.accepting.Done()
+func (l *Listener) serve() {
+	defer close(l.ended)
 	for {
 		select {
-		case n.unsettled <- struct{}{}:
-		case <-n.done:
+		case l.unsettled <- struct{}{}:
+		case <-l.done:
 			return
 		}
-		c, err := n.listener.Accept()
+		c, err := l.lis.Accept()
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
 		if err == nil {
-			if _, err = n.engine.AddConn(c); err != nil {
-				_ = c.Close() // nbio leaves it open where it could not copy the descriptor
-			}
+			err = l.take(c)
 		}
 		if err != nil {
-			<-n.unsettled
-			n.log.Warn("accept failed", "err", err)
+			<-l.unsettled
+			l.net.log.Warn("accept failed", "err", err)
 			time.Sleep(acceptPause)
 		}
 	}
 }
 
+// take hands a connection to the poller.
+func (l *Listener) take(std net.Conn) error {
+	c, err := nbio.NBConn(std)
+	if err != nil {
+		return errors.Join(err, std.Close()) // nbio leaves it open where it could not copy the descriptor
+	}
+	_ = c.SetNoDelay(true)
+	c.SetSession(&socket{net: l.net, c: c, from: l})
+	if _, err = l.net.engine.AddConn(c); err != nil {
+		l.net.log.Warn("accept failed", "err", err) // nbio has closed it, and the loop hears of that
+	}
+	return nil
+}
+
 // stopWithin bounds Stop. A poller that nbio started a moment ago may miss its stop (it clears its own mark as
 // it comes up), and engine.Stop would then wait for ever: a router that fails at its start would hang.
 const stopWithin = time.Second
 
-// Stop closes the listener and all connections.
+// Stop closes the listeners and all connections.
 func (n *Net) Stop() {
 	n.mu.Lock()
 	n.stopped = true
 	n.drained.Broadcast()
 	n.mu.Unlock()
 	close(n.done)
-	if n.listener != nil {
-		_ = n.listener.Close()
-		n.accepting.Wait()
+	n.mu.Lock()
+	listeners := n.listeners
+	n.mu.Unlock()
+	for _, l := range listeners {
+		l.Close()
+		<-l.ended
 	}
 	stopped := make(chan struct{})
 	go func() {
@@ -304,11 +356,15 @@
 type socket struct {
 	net     *Net
 	c       *nbio.Conn // nil while it is being dialled
+	from    *Listener  // that accepted it; nil for one that was dialled
 	h       Handler
 	dialing *router.Timer
 	closed  bool
 	lingers bool
 	ending  *router.Timer // of a Linger
+
+	unflushed atomic.Bool // somebody waits for the write queue to run empty
+	flushed   []func()
 }
 
 func (s *socket) up(c *nbio.Conn) {
@@ -354,6 +410,34 @@
 	return err
 }
 
+// Flushed implements Conn.
+func (s *socket) Flushed(f func()) {
+	s.flushed = append(s.flushed, f)
+	s.unflushed.Store(true)
+	s.flush()
+}
+
+// flush runs those that wait for the write queue to be empty, if it is.
+func (s *socket) flush() {
+	if s.closed || s.c == nil || queued(s.c) > 0 {
+		return
+	}
+	s.unflushed.Store(false)
+	waiting := s.flushed
+	s.flushed = nil
+	for _, f := range waiting {
+		f()
+	}
+}
+
+// queued is how many bytes wait in nbio's queue of a connection. nbio tells of what it takes off that queue but neither
+// of what it writes at once nor how much is left, so the figure is read where it keeps it; a test guards the name.
+func queued(c *nbio.Conn) int {
+	c.Lock()
+	defer c.Unlock()
+	return int(reflect.ValueOf(c).Elem().FieldByName("left").Int())
+}
+
 // Close closes at once; what was written before is still sent by the system.
 func (s *socket) Close() {
 	if s.closed {
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -104,7 +104,7 @@
 			t.Fatalf("start %d: %v", i, err)
 		}
 		n.Stop()
-		if _, err := n.listener.Accept(); !errors.Is(err, net.ErrClosed) {
+		if _, err := n.listener.lis.Accept(); !errors.Is(err, net.ErrClosed) {
 			t.Errorf("the listener after the stop: %v", err)
 		}
 	}
@@ -248,3 +248,42 @@
 		runtime.Gosched()
 	}
 }
+
+// Flushed waits for the last byte to leave. It guards the count of what was sent against bytes that merely wait in the
+// poller's queue, and the name by which that queue is read.
+func TestFlushedWaitsForTheLastByte(t *testing.T) {
+	n, loop := newNet(t, "", nil)
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	h := newTap()
+	flushed := make(chan string, 4)
+	var conn Conn
+	loop.Post(func() { conn = n.Dial(lis.Addr().String(), 5000, h) })
+	peer, err := lis.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	<-h.up
+	loop.Post(func() {
+		s := conn.(*socket)
+		_ = s.c.SetWriteBuffer(8 << 10)
+		_ = s.Write([]byte("x"))
+		s.Flushed(func() { flushed <- "one byte" })
+		for queued(s.c) == 0 { // the peer does not read, so that the system's buffers fill
+			_ = s.Write(make([]byte, maxUnwritten/2))
+		}
+		s.Flushed(func() { flushed <- "all" })
+		flushed <- "queued"
+	})
+	if one, two := <-flushed, <-flushed; one != "one byte" || two != "queued" {
+		t.Errorf("heard %q, then %q", one, two)
+	}
+	go func() { _, _ = io.Copy(io.Discard, peer) }()
+	if got := <-flushed; got != "all" {
+		t.Errorf("heard %q", got)
+	}
+}
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -68,6 +68,8 @@
 	Priority  int
 	Update    bool // the client asked for an update, not for rows
 	Once      bool // it must not run twice: proof that it never ran is worth a new connection
+	// Wrote is called in the loop, once at most, when the last byte of the attempt has left for the engine.
+	Wrote func()
 }
 
 // End is how an attempt ended; Result is set where Outcome is Served.
@@ -91,6 +93,9 @@
 	Start(call Call, done func(End)) Attempt
 	// Forget is told that an engine is gone: connections kept for it are of no more use.
 	Forget(Engine)
+	// Withhold is told that an engine gets nothing more: each attempt of which nothing was written ends as
+	// ConnectFailed. What has been begun goes on.
+	Withhold(Engine)
 }
 
 // Counters count what the core took in, sent and answered.
@@ -101,6 +106,9 @@
 	Handled, Actions, Steps, MaxOpen, AfterDone int64
 }
 
+// ClassCounters count the requests of a class by their answers, and the attempts that were written whole to engines.
+type ClassCounters struct{ Served, Refused, Failed, Forwards int64 }
+
 const (
 	// answerMargin is kept before the client's deadline, in milliseconds, so that the final answer is on its
 	// wire while the client still waits.
@@ -148,6 +156,7 @@
 	spent    spent
 	seq      uint64
 	Counters Counters
+	ByClass  map[string]*ClassCounters // each class of the settings, from the start
 }
 
 // New returns a core for the settings that the module was told.
@@ -157,7 +166,8 @@
 		return nil, err
 	}
 	c := &Core{loop: loop, module: module, client: client, log: log, engines: map[brain.EngineID]Engine{},
-		requests: map[brain.RequestID]*request{}, byID: map[string]*request{}, spent: spent{at: map[string]int{}}}
+		requests: map[brain.RequestID]*request{}, byID: map[string]*request{}, spent: spent{at: map[string]int{}},
+		ByClass: map[string]*ClassCounters{}}
 	c.use(cfg)
 	loop.Settle = c.settle
 	return c, nil
@@ -177,6 +187,9 @@
 	n := &names{classes: map[string]brain.Class{}, tenants: map[string]bool{}}
 	for _, k := range cfg.Classes {
 		n.classes[k.Name] = k
+		if c.ByClass[k.Name] == nil {
+			c.ByClass[k.Name] = &ClassCounters{}
+		}
 	}
 	for _, t := range cfg.Tenants {
 		n.tenants[t.Name] = true
@@ -283,6 +296,7 @@
 	asker := r.asker
 	c.finish(r)
 	c.Counters.Failed++
+	c.ByClass[r.Class].Failed++
 	asker.Failed(why)
 }
 
@@ -318,6 +332,33 @@
 	c.events = append(c.events, list)
 }
 
+// Exclude keeps new work from an engine, by an operator's word, until Include; once it returns, nothing more is begun
+// there. Both say no to an engine that no list has named.
+func (c *Core) Exclude(id brain.EngineID) bool { return c.order(id, brain.Exclude{Engine: id}) }
+
+// Include ends an Exclude.
+func (c *Core) Include(id brain.EngineID) bool { return c.order(id, brain.Include{Engine: id}) }
+
+func (c *Core) order(id brain.EngineID, word brain.Event) bool {
+	c.settle() // a list that names the engine may just have come
+	if !c.module.Knows(id) {
+		return false
+	}
+	c.events = append(c.events, word)
+	c.settle()
+	if e, ok := c.engines[id]; ok && c.module.Excluded(id) {
+		c.client.Withhold(e)
+	}
+	return true
+}
+
+// Listed is the number of engines in the list, and Avoided that of those among them which get no work now, by an
+// operator's word or by the module's choice.
+func (c *Core) Listed() int { return len(c.engines) }
+
+// Avoided: see Listed.
+func (c *Core) Avoided() int { return c.module.Avoided(clock.Duration(c.loop.Now())) }
+
 // settle hands all that was gathered to the module and carries out what came back.
 func (c *Core) settle() {
 	c.Counters.Steps++
@@ -370,6 +411,7 @@
 			asker := r.asker
 			c.finish(r)
 			c.Counters.Refused++
+			c.ByClass[r.Class].Refused++
 			asker.Refused(clock.Millis(a.RetryAfter))
 		}
 	case brain.Fail:
@@ -415,7 +457,8 @@
 		c.spent.add(r.ID)
 	}
 	a.call = c.client.Start(Call{Engine: engine, ID: r.ID, Class: r.Class, Statement: r.Statement, WaitMS: wait,
-		GrantMB: r.grant, Priority: r.priority, Update: r.Update, Once: class.Semantics != brain.Idempotent},
+		GrantMB: r.grant, Priority: r.priority, Update: r.Update, Once: class.Semantics != brain.Idempotent,
+		Wrote: func() { c.ByClass[r.Class].Forwards++ }},
 		func(e End) { c.ended(a, e) })
 	a.timeout = c.loop.At(now+wait, func() { c.ended(a, End{Outcome: brain.TimedOut, Detail: "no answer in time"}) })
 }
@@ -443,6 +486,7 @@
 		asker := r.asker
 		c.finish(r)
 		c.Counters.Served++
+		c.ByClass[r.Class].Served++
 		asker.Served(e.Result)
 	}
 	end := brain.AttemptEnd{Request: r.key, Attempt: a.hop, Outcome: e.Outcome,
--- a/internal/router/core_test.go
+++ b/internal/router/core_test.go
@@ -83,6 +83,7 @@
 	calls     []Call
 	done      []func(End)
 	gone      []Engine
+	withheld  []Engine
 	cancelled []string
 }
 
@@ -97,8 +98,9 @@
 	id string
 }
 
-func (o out) Cancel()              { o.e.cancelled = append(o.e.cancelled, o.id) }
-func (e *engines) Forget(g Engine) { e.gone = append(e.gone, g) }
+func (o out) Cancel()                { o.e.cancelled = append(o.e.cancelled, o.id) }
+func (e *engines) Forget(g Engine)   { e.gone = append(e.gone, g) }
+func (e *engines) Withhold(g Engine) { e.withheld = append(e.withheld, g) }
 
 // asker keeps the answers to one request.
 type asker struct{ answers []string }
@@ -417,3 +419,49 @@
 		t.Error("settings without classes were taken")
 	}
 }
+
+// Each class shows from the start, and counts requests by their answer and attempts when they have left, not when they
+// were handed over.
+func TestClassCounters(t *testing.T) {
+	b := newBed(t)
+	b.ask("lookup", 3000, 0)
+	if diff := cmp.Diff(map[string]*ClassCounters{"lookup": {}, "load": {}}, b.core.ByClass); diff != "" {
+		t.Error("before anything has left:", diff)
+	}
+	b.engines.calls[0].Wrote()
+	b.end(0, End{Outcome: brain.Served, Result: &Result{}})
+	b.ask("lookup", 10, 20)
+	b.ask("load", 3000, 0)
+	b.engines.calls[1].Wrote()
+	b.end(1, End{Outcome: brain.Reset})
+	want := map[string]*ClassCounters{"lookup": {Served: 1, Refused: 1, Forwards: 1}, "load": {Failed: 1, Forwards: 1}}
+	if diff := cmp.Diff(want, b.core.ByClass); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// A ban by hand is in force when it is confirmed: nothing more is sent, and what was handed over and not begun is taken
+// back. An id that no list has named is owed a no.
+func TestExcludeTakesBack(t *testing.T) {
+	b := newBed(t)
+	b.ask("lookup", 3000, 0)
+	told := map[string]bool{}
+	b.loop.Post(func() {
+		told["unknown"], told["known"] = b.core.Exclude(8), b.core.Exclude(7)
+		told["again"] = b.core.Exclude(7)
+	})
+	b.run()
+	if diff := cmp.Diff(map[string]bool{"unknown": false, "known": true, "again": true}, told); diff != "" {
+		t.Error(diff)
+	}
+	b.ask("lookup", 3000, 0)
+	if len(b.engines.calls) != 1 || len(b.engines.withheld) == 0 || b.core.Avoided() != 1 || b.core.Listed() != 1 {
+		t.Errorf("%d calls, withheld %v, avoided %d of %d", len(b.engines.calls), b.engines.withheld,
+			b.core.Avoided(), b.core.Listed())
+	}
+	b.loop.Post(func() { told["back"], told["unknown back"] = b.core.Include(7), b.core.Include(8) })
+	b.run()
+	if !told["back"] || told["unknown back"] || len(b.engines.calls) != 2 {
+		t.Errorf("after the word back: %v, %d calls", told, len(b.engines.calls))
+	}
+}
--- a/internal/router/mux.go
+++ b/internal/router/mux.go
@@ -20,3 +20,6 @@
 
 // Forget implements EngineClient.
 func (m *ByKind) Forget(e Engine) { m.client(e).Forget(e) }
+
+// Withhold implements EngineClient.
+func (m *ByKind) Withhold(e Engine) { m.client(e).Withhold(e) }
--- a/internal/settings/node.go
+++ b/internal/settings/node.go
@@ -22,6 +22,7 @@
 		Sockets  int     `json:"sockets"`
 	} `json:"limits"`
 	Board    string              `json:"board"`
+	Control  string              `json:"control"` // the operators' door; empty where there is none
 	Known    jsoniter.RawMessage `json:"known"`
 	Settings jsoniter.RawMessage `json:"settings"`
 	// Parsed is what Settings holds, and SeedValue what Seed does.
@@ -49,6 +50,9 @@
 			return nil, fmt.Errorf("field %s: %q is no address:port", f.name, f.value)
 		}
 	}
+	if host, port, ok := strings.Cut(n.Control, ":"); n.Control != "" && (!ok || host == "" || port == "") {
+		return nil, fmt.Errorf("field control: %q is no address:port", n.Control)
+	}
 	if n.Seed != "" {
 		v, err := strconv.ParseUint(n.Seed, 16, 64)
 		if err != nil {
