--- a/brain/brain.go
+++ b/brain/brain.go
@@ -988,7 +988,7 @@
 	if c.now >= e.warmAt || c.cfg.OverloadFactor <= 0 {
 		return true
 	}
-	sum, kept := c.usual(r.c), e.spent[:0]
+	sum, kept := c.usual(r.c)+e.peer.Cold, e.spent[:0]
 	for _, s := range e.spent {
 		if s.at >= c.now-c.cfg.OverloadFor {
 			kept = append(kept, s)
--- /dev/null
+++ b/brain/handover.go
@@ -0,0 +1,161 @@
+package brain
+
+import (
+	"slices"
+	"time"
+)
+
+// This file holds what two controllers that stand for one gateway tell each other, while one takes over from the other.
+// It decides nothing: the one's figures join those that the other's decisions go by.
+
+// Snapshot is what a controller knows of the fleet; times are on the clock that both share.
+type Snapshot struct {
+	Known    []EngineID // that a list has named
+	Excluded []EngineID
+	Engines  []EngineSnapshot
+	Classes  []ClassSnapshot
+	Done     float64 // work finished on warm engines
+	DoneAt   time.Duration
+}
+
+// EngineSnapshot is what a controller knows of an engine.
+type EngineSnapshot struct {
+	ID             EngineID
+	Born           time.Duration
+	ColdAt, WarmAt time.Duration
+	Slow, Fail     float64
+	SlowAt, FailAt time.Duration
+	Lost           int
+	Owed           bool
+}
+
+// ClassSnapshot is what a controller has learned of a class.
+type ClassSnapshot struct {
+	Name                           string
+	Mean, Best, EstMean, Fix, Seen float64
+	SeenAt                         time.Duration
+}
+
+// EngineUse is what a controller has running on an engine, and what it sent there within the window for cold ones.
+type EngineUse struct {
+	ID                             EngineID
+	Threads, Prefer, Work, Granted float64
+	Cold                           float64
+}
+
+// Takeover has a controller go on from what another one knew.
+type Takeover struct{ Snapshot Snapshot }
+
+// PeerUse says what the other controller has running; it counts as this one's own.
+type PeerUse struct{ Engines []EngineUse }
+
+// Closing says that the controller's process ends at that time: no request has longer.
+type Closing struct{ At time.Duration }
+
+func (Takeover) event() {}
+func (Closing) event()  {}
+func (PeerUse) event()  {}
+
+// Snapshot gives what the controller knows.
+func (c *Controller) Snapshot() Snapshot {
+	s := Snapshot{Known: slices.Clone(c.ids.order), Done: c.done, DoneAt: c.doneAt}
+	for _, id := range c.ids.order {
+		if c.ids.excluded[id] {
+			s.Excluded = append(s.Excluded, id)
+		}
+	}
+	for _, e := range c.engines {
+		s.Engines = append(s.Engines, EngineSnapshot{ID: e.ID, Born: e.Born, ColdAt: e.coldAt, WarmAt: e.warmAt,
+			Slow: e.slow, Fail: e.fail, SlowAt: e.slowAt, FailAt: e.failAt, Lost: e.lost, Owed: e.owed})
+	}
+	for _, k := range c.classes {
+		s.Classes = append(s.Classes, ClassSnapshot{Name: k.Name, Mean: k.mean, Best: k.best, EstMean: k.estMean,
+			Fix: k.grantFix, Seen: k.seen, SeenAt: k.seenAt})
+	}
+	return s
+}
+
+// takeOver goes on from a snapshot. What makes no sense is left out: it comes from another version of the program.
+func (c *Controller) takeOver(s Snapshot) {
+	for _, id := range s.Known {
+		c.ids.named(id)
+	}
+	for _, id := range s.Excluded {
+		c.exclude(id, true)
+	}
+	for _, old := range s.Engines {
+		e := c.byID[old.ID]
+		if e == nil {
+			continue
+		}
+		if old.WarmAt > e.warmAt || old.WarmAt > c.now {
+			e.coldAt, e.warmAt = old.ColdAt, max(old.WarmAt, e.warmAt)
+		}
+		if old.Slow > 0 && old.Fail >= 0 && old.Fail <= 1 && old.Lost >= 0 {
+			e.slow, e.slowAt, e.failAt, e.lost, e.owed = old.Slow, old.SlowAt, old.FailAt, old.Lost, old.Owed
+			e.fail = old.Fail
+			if e.fail >= ejectAt && !slices.Contains(c.failed, e) {
+				c.failed = append(c.failed, e)
+			}
+		}
+	}
+	for _, old := range s.Classes {
+		for _, k := range c.classes {
+			if k.Name == old.Name && old.Seen > 0 && old.Mean > 0 && old.Best > 0 && old.EstMean > 0 && old.Fix > 0 {
+				k.mean, k.best, k.estMean, k.grantFix = old.Mean, old.Best, old.EstMean, old.Fix
+				k.seen, k.seenAt = old.Seen, old.SeenAt
+			}
+		}
+	}
+	if s.Done >= 0 && s.DoneAt <= c.now {
+		c.done, c.doneAt = s.Done, s.DoneAt
+	}
+}
+
+// closing has open requests end by then; what would end later is not begun any more.
+func (c *Controller) closing(at time.Duration) {
+	for _, r := range c.open {
+		r.end, r.aim = min(r.end, at), min(r.aim, at)
+	}
+	c.due = c.now
+}
+
+// Use gives what the controller itself has on each engine.
+func (c *Controller) Use(now time.Duration) []EngineUse {
+	c.now = max(c.now, now)
+	var list []EngineUse
+	for _, e := range c.engines {
+		u := EngineUse{ID: e.ID, Threads: e.threads - e.peer.Threads, Prefer: e.prefer - e.peer.Prefer,
+			Work: e.work - e.peer.Work, Granted: e.granted - e.peer.Granted}
+		for _, s := range e.spent {
+			if s.at >= c.now-c.cfg.OverloadFor {
+				u.Cold += s.work
+			}
+		}
+		if u != (EngineUse{ID: e.ID}) {
+			list = append(list, u)
+		}
+	}
+	return list
+}
+
+// peerUse takes over what the other controller has running in place of what it had.
+func (c *Controller) peerUse(list []EngineUse) {
+	now := map[EngineID]EngineUse{}
+	for _, u := range list {
+		now[u.ID] = EngineUse{ID: u.ID, Threads: max(u.Threads, 0), Prefer: max(u.Prefer, 0), Work: max(u.Work, 0),
+			Granted: max(u.Granted, 0), Cold: max(u.Cold, 0)}
+	}
+	for _, e := range c.engines {
+		c.setPeer(e, now[e.ID])
+	}
+	c.release()
+}
+
+func (c *Controller) setPeer(e *engine, u EngineUse) {
+	old := e.peer
+	e.peer = u
+	e.threads, e.prefer = e.threads+u.Threads-old.Threads, e.prefer+u.Prefer-old.Prefer
+	e.work, e.granted = max(e.work+u.Work-old.Work, 0), max(e.granted+u.Granted-old.Granted, 0)
+	c.threads, c.granted = c.threads+u.Threads-old.Threads, max(c.granted+u.Granted-old.Granted, 0)
+}
--- /dev/null
+++ b/brain/handover_test.go
@@ -0,0 +1,111 @@
+package brain
+
+import (
+	"encoding/json"
+	"testing"
+	"time"
+)
+
+// A controller that takes over knows what the one before it knew: bans, warmth, failures, what classes cost. It guards
+// against a cold engine that is flooded after an upgrade, and a ban that ends with the process that was told.
+func TestTakeover(t *testing.T) {
+	cfg := twoClasses()
+	cfg.ColdFor, cfg.ColdFrom, cfg.OverloadFactor, cfg.OverloadFor = 12*time.Second, 0.36, 2, 1500*ms
+	old := newWorld(t, cfg)
+	old.list(ListFull, engines(4)...)
+	old.tick(20 * time.Second)
+	old.handle(Exclude{Engine: 2})
+	old.handle(Exclude{Engine: 3})
+	old.handle(Include{Engine: 3})
+	for range 30 {
+		tr := old.ask("quick", "")
+		old.tick(300 * ms)
+		for hop := range tr.engines {
+			old.endHop(tr, hop, Served, nil)
+		}
+	}
+	text, err := json.Marshal(old.c.Snapshot())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var s Snapshot
+	if err := json.Unmarshal(text, &s); err != nil {
+		t.Fatal(err)
+	}
+	w := newWorld(t, cfg)
+	w.now = old.now
+	w.list(ListSaved, engines(3)...)
+	w.handle(Takeover{Snapshot: s})
+	if !w.c.Excluded(2) || w.c.Excluded(3) || !w.c.Knows(4) || w.c.byID[2].listed {
+		t.Error("bans or known ids were lost")
+	}
+	if a, b := old.c.byID[3], w.c.byID[3]; a.warmAt != b.warmAt || a.coldAt != b.coldAt || b.warmAt <= w.now {
+		t.Errorf("engine 3 was warm at %v, now at %v", a.warmAt, b.warmAt)
+	}
+	if a, b := old.c.classes[0], w.c.classes[0]; a.mean != b.mean || a.best != b.best || a.seen != b.seen {
+		t.Errorf("learned %+v, now %+v", a.mean, b.mean)
+	}
+	bad := s
+	bad.Engines = []EngineSnapshot{{ID: 1, Slow: -1, Fail: 7, Lost: -1}}
+	bad.Classes = []ClassSnapshot{{Name: "quick", Mean: -1, Seen: 1}}
+	w.handle(Takeover{Snapshot: bad})
+	if e := w.c.byID[1]; e.slow <= 0 || e.fail > 1 || w.c.classes[0].mean <= 0 {
+		t.Errorf("what makes no sense was taken over: slow %v, fail %v", e.slow, e.fail)
+	}
+}
+
+// What the other process has running counts as own work, towards cold engines too, and is not told back.
+func TestPeerUseCounts(t *testing.T) {
+	cfg := twoClasses()
+	cfg.ColdFor, cfg.ColdFrom, cfg.OverloadFactor, cfg.OverloadFor = 12*time.Second, 0.36, 2, 1500*ms
+	w := newWorld(t, cfg)
+	w.list(ListFull, engines(2)...)
+	w.tick(time.Second)
+	w.handle(PeerUse{Engines: []EngineUse{{ID: 1, Threads: 1000, Work: 500, Granted: 10, Cold: 1e6},
+		{ID: 2, Threads: 1000, Work: 500}}})
+	if tr := w.ask("big", ""); len(tr.engines) != 0 {
+		t.Error("a query was sent to an engine that the other process has filled")
+	}
+	if list := w.c.Use(w.now); len(list) != 0 {
+		t.Errorf("the other process's work is told as own: %+v", list)
+	}
+	w.handle(PeerUse{Engines: []EngineUse{{ID: 1, Cold: 1e6}}})
+	if w.c.threads > 4*1 || w.c.byID[1].work > 100 {
+		t.Errorf("work that has ended is still counted: %v threads", w.c.threads)
+	}
+	w.c.chill(w.c.byID[1], w.now)
+	for range 20 {
+		if tr := w.ask("quick", ""); len(tr.engines) > 0 && tr.engines[0] == 1 {
+			t.Fatal("a cold engine got work beyond what the other process sent it")
+		}
+		w.tick(10 * ms)
+	}
+	if list := w.c.Use(w.now); len(list) == 0 {
+		t.Error("own work is not told")
+	}
+	w.handle(PeerUse{})
+	gone := engines(1)
+	gone[0].State = Gone
+	w.list(ListChanges, gone...)
+}
+
+// When the process ends, every request has its answer before.
+func TestClosingEndsRequests(t *testing.T) {
+	w := newWorld(t, twoClasses())
+	w.list(ListFull, engines(1)...)
+	running := w.ask("big", "")
+	var held []*track
+	for range 40 {
+		held = append(held, w.ask("big", ""))
+	}
+	w.handle(Closing{At: w.now + 2*time.Second})
+	w.tick(2*time.Second + 10*ms)
+	if running.answers != 1 {
+		t.Error("a running request got no answer")
+	}
+	for _, tr := range held {
+		if tr.answers != 1 {
+			t.Fatal("a held request got no answer")
+		}
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -50,6 +50,7 @@
 	fullAt, reportAt time.Duration
 	report           Load
 	spent            []spend
+	peer             EngineUse               // of the other controller of this gateway, in an upgrade
 	loadUntil        map[int64]time.Duration // table groups on which another gateway's load was noticed
 }
 
@@ -251,6 +252,12 @@
 		c.exclude(ev.Engine, true)
 	case Include:
 		c.exclude(ev.Engine, false)
+	case Takeover:
+		c.takeOver(ev.Snapshot)
+	case Closing:
+		c.closing(ev.At)
+	case PeerUse:
+		c.peerUse(ev.Engines)
 	case Abort:
 		if r := c.requests[ev.Request]; r != nil {
 			c.finish(r)
@@ -330,6 +337,7 @@
 	c.live, c.cores, c.memory, c.nearSize, c.homeOf = c.live[:0], 0, 0, 0, map[home][]*engine{}
 	c.engines = slices.DeleteFunc(c.engines, func(e *engine) bool {
 		if e.State == Gone && len(e.running) == 0 {
+			c.setPeer(e, EngineUse{})
 			delete(c.byID, e.ID)
 			c.failed = without(c.failed, e)
 			return true
--- a/cmd/windflow/drain_test.go
+++ b/cmd/windflow/drain_test.go
@@ -34,7 +34,7 @@
 	n := startRouter(t, []string{fmt.Sprintf(
 		`{"id":"s-00000001","host_port":"%s","locality":"a","flavor":"std","phase":"active","size":1}`, lis.Addr())})
 
-	early, err := dialMySQL(n.net.Addr())
+	early, err := dialMySQL(n.clientsAt)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -58,7 +58,7 @@
 		close(signalled)
 	})
 	<-signalled
-	late, err := dialMySQL(n.net.Addr())
+	late, err := dialMySQL(n.clientsAt)
 	if err != nil {
 		t.Fatal("a new connection after SIGTERM:", err)
 	}
--- a/cmd/windflow/main.go
+++ b/cmd/windflow/main.go
@@ -41,6 +41,11 @@
 	flightLoads   = 32
 	// graceMS is how long after SIGTERM requests may still come, in milliseconds; PROTOCOL says 600.
 	graceMS = 1000.0
+	// After SIGTERM a kill comes no sooner than the longest deadline, counted as patienceAlone at most, or in an upgrade
+	// as patienceUpgrade, and 700 ms. What is open is answered beforeKill after that deadline: before the kill does.
+	patienceAlone   = 3000.0
+	patienceUpgrade = 5000.0
+	beforeKill      = 450.0
 	// quietMS is how long nothing may have been open before the program ends after SIGTERM.
 	quietMS = 200.0
 )
@@ -98,16 +103,19 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
-	limit(cfg)
 	level := slog.LevelInfo
 	if opts.debug {
 		level = slog.LevelDebug
 	}
 	log := slog.New(slog.NewTextHandler(os.Stderr, &slog.HandlerOptions{Level: level})).With("name", cfg.Name)
-	r, err := start(cfg, opts, log)
+	loop := router.NewLoop(clock.NewSystem())
+	old := findPredecessor(cfg, loop, log)
+	r, err := startAfter(old, cfg, opts, loop, log)
 	if err != nil {
+		old.leave()
 		return fmt.Errorf("%s: %w", path, err)
 	}
+	r.awaitSuccessor()
 	go func() {
 		for s := range signals {
 			if s == syscall.SIGHUP {
@@ -123,8 +131,13 @@
 	return nil
 }
 
-// start wires the parts together; the caller runs the loop.
+// start wires the parts of a router that takes over from none; the caller runs the loop.
 func start(cfg *settings.Node, opts options, log *slog.Logger) (*node, error) {
+	return startAfter(nil, cfg, opts, router.NewLoop(clock.NewSystem()), log)
+}
+
+// startAfter wires the parts together; old is the process that this one takes over from, nil for none.
+func startAfter(old *predecessor, cfg *settings.Node, opts options, loop *router.Loop, log *slog.Logger) (*node, error) {
 	known, last, err := board.ParseKnown(cfg.Known)
 	if err != nil {
 		return nil, fmt.Errorf("field known: %w", err)
@@ -138,12 +151,12 @@
 		return nil, err
 	}
 	flight := extra.flight
-	loop := router.NewLoop(clock.NewSystem())
 	r := &node{log: log, cfg: cfg, extra: extra, loop: loop, stop: make(chan struct{})}
 	if opts.flightSQL != "" {
 		r.flightConns = flight.MaxConnections + flightEngines
 	}
-	b, err := boundsOf(cfg, r.flightConns)
+	r.link, r.generation = old.connection(), old.nextGeneration()
+	b, err := r.bounds(cfg)
 	if err != nil {
 		return nil, err
 	}
@@ -152,26 +165,35 @@
 		return nil, fmt.Errorf("field settings: %w", err)
 	}
 	r.front = mysql.NewFront(r.core, loop, b.mysql, r.status, log)
-	err = retry(func() error {
-		r.net, err = netio.New(loop, cfg.Listen, r.front.Accept, log)
-		return err
-	})
+	r.front.SetGeneration(r.generation)
+	if r.net, err = netio.New(loop, "", nil, log); err != nil {
+		return nil, err
+	}
+	lis, err := r.listener(old, listenClients, "listen", cfg.Listen)
 	if err != nil {
-		return nil, fmt.Errorf("field listen: %w", err)
+		r.net.Stop()
+		return nil, err
 	}
+	r.clientsAt = lis.Addr().String()
+	r.listening = r.net.Serve(lis, r.front.Accept)
 	r.net.SetMaxInbound(b.inbound)
 	r.client = fetch.New(loop, r.net, b.fetch, log)
 	r.clients.Other = r.client
 	if opts.flightSQL != "" {
 		r.flightClient = flightsql.NewClient(loop, b.fetch.ConnectTimeoutMS, flightLoads, log)
 		r.speakFlight(flight.EngineKinds)
-		if r.flight, err = flightsql.Listen(flight, r.core, loop, cfg.SeedValue, log); err != nil {
+		lis, err := r.listener(old, listenFlight, "flight sql listen", flight.Listen)
+		if err == nil {
+			r.flight, err = flightsql.Listen(flight, lis, r.core, loop, cfg.SeedValue, r.generation, log)
+		}
+		if err != nil {
 			r.net.Stop()
-			return nil, fmt.Errorf("%s: field listen: %w", opts.flightSQL, err)
+			return nil, err
 		}
+		r.flight.SetClaim(r.claim)
 		log.Info("flight sql front", "listen", r.flight.Addr(), "engine_kinds", flight.EngineKinds)
 	}
-	if err := r.openDoor(); err != nil {
+	if err := r.openDoor(old); err != nil {
 		r.close()
 		return nil, err
 	}
@@ -180,15 +202,32 @@
 	r.board = board.Follow(loop, r.net, cfg.Board, namesOf(cfg), last,
 		func(l board.List) { r.core.Engines(l.Events, l.Addrs) }, log)
 	if opts.bgp != "" {
-		r.bgp = bgp.Start(loop, r.net, extra.neighbour, log)
+		if old.has(partBGP) {
+			r.bgp = bgp.Await(loop, r.net, extra.neighbour, log)
+		} else {
+			r.bgp = bgp.Start(loop, r.net, extra.neighbour, log)
+		}
 		r.bgp.Announce()
 	}
-	r.ready = true
-	log.Info("ready", "listen", r.net.Addr(), "engines", len(known.Events.Engines), "last_event", last)
+	r.limit()
+	r.takeOver(old, func() {
+		r.ready = true
+		log.Info("ready", "listen", r.clientsAt, "engines", len(known.Events.Engines), "last_event", last)
+	})
 	return r, nil
 }
 
+// bounds are those of the configuration, or this process's part of them while another one stands for the same router.
+func (r *node) bounds(cfg *settings.Node) (bounds, error) {
+	b, err := boundsOf(cfg, r.flightConns)
+	if err == nil && r.link != nil {
+		r.part(&b)
+	}
+	return b, err
+}
+
 func (r *node) close() {
+	r.closeUpgrade()
 	if r.flight != nil {
 		r.flight.Stop()
 	}
@@ -227,13 +266,16 @@
 	return board.Names{Zones: cfg.Parsed.Zones, Kinds: cfg.Parsed.Kinds}
 }
 
-// limit keeps the runtime within what the deployment gives.
-func limit(cfg *settings.Node) {
-	if cfg.Limits.Cores > 0 {
-		runtime.GOMAXPROCS(max(int(cfg.Limits.Cores+0.5), 1))
-	}
-	if cfg.Limits.MemoryMB > 0 {
-		debug.SetMemoryLimit(int64(float64(cfg.Limits.MemoryMB<<20) * memoryShare))
+// limit keeps the runtime within what the deployment gives; two processes of one router have half of the memory each.
+func (r *node) limit() {
+	if cores := r.cfg.Limits.Cores; cores > 0 {
+		runtime.GOMAXPROCS(max(int(cores+0.5), 1))
+	}
+	if memory := r.cfg.Limits.MemoryMB << 20; memory > 0 {
+		if r.link != nil {
+			memory /= 2
+		}
+		debug.SetMemoryLimit(int64(float64(memory) * memoryShare))
 	}
 }
 
@@ -259,6 +301,9 @@
 	stopping     sync.Once
 	draining     bool
 	busyAt       float64
+	clientsAt    string          // where clients connect
+	listening    *netio.Listener // for them; nil while this process does not accept
+	upgrade
 }
 
 // reload reads the configuration again, and the files that the command line names, and hands them to the loop. One
@@ -286,7 +331,7 @@
 	if err != nil {
 		return fmt.Errorf("field settings: %w", err)
 	}
-	b, err := boundsOf(cfg, r.flightConns)
+	b, err := r.bounds(cfg)
 	if err != nil {
 		return err
 	}
@@ -307,10 +352,7 @@
 	if n := r.extra.flight.MaxConnections; e.flight.MaxConnections != n {
 		kept, e.flight.MaxConnections = append(kept, "flight sql max_connections"), n
 	}
-	limit(cfg)
-	r.net.SetMaxInbound(b.inbound)
-	r.front.Configure(b.mysql)
-	r.client.Configure(b.fetch)
+	r.apply(b)
 	if r.flightClient != nil {
 		r.flightClient.Configure(b.fetch.ConnectTimeoutMS)
 		r.speakFlight(e.flight.EngineKinds)
@@ -320,6 +362,7 @@
 	}
 	r.board.Configure(cfg.Board, namesOf(cfg))
 	r.cfg, r.extra = cfg, e
+	r.limit()
 	r.log.Info("reloaded", "board", cfg.Board, "sockets", cfg.Limits.Sockets, "memory_mb", cfg.Limits.MemoryMB)
 	if len(kept) > 0 {
 		r.log.Warn("unchanged until a restart", "fields", kept)
@@ -327,6 +370,13 @@
 	return nil
 }
 
+// apply has the parts go by bounds.
+func (r *node) apply(b bounds) {
+	r.net.SetMaxInbound(b.inbound)
+	r.front.Configure(b.mysql)
+	r.client.Configure(b.fetch)
+}
+
 // speakFlight has engines of these kinds reached over Flight SQL; attempts that are out go on as they are.
 func (r *node) speakFlight(kinds []string) {
 	r.clients.Kinds = map[string]router.EngineClient{}
@@ -344,7 +394,20 @@
 		return
 	}
 	r.draining = true
-	r.log.Info("draining", "signal", s.String(), "open", r.core.Open())
+	r.log.Info("draining", "signal", s.String(), "open", r.core.Open(), "successor", r.successor)
+	patience := patienceAlone
+	if r.successor {
+		patience = patienceUpgrade
+	}
+	longest := 0.0
+	for _, k := range r.cfg.Parsed.Classes {
+		longest = max(longest, float64(k.Deadline)/1e6)
+	}
+	r.core.Closing(r.loop.Now() + min(longest, patience) + beforeKill)
+	if r.successor {
+		r.leave()
+		return
+	}
 	if r.bgp != nil {
 		r.bgp.Withdraw() // first of all, so that new clients go elsewhere
 	}
--- a/cmd/windflow/mixed_test.go
+++ b/cmd/windflow/mixed_test.go
@@ -395,7 +395,7 @@
 		idsB, loadB := plan()
 		go func() {
 			defer wg.Done()
-			c, err := dialMySQL(n.net.Addr())
+			c, err := dialMySQL(n.clientsAt)
 			if err != nil {
 				t.Error("mysql:", err)
 				return
--- a/cmd/windflow/operators.go
+++ b/cmd/windflow/operators.go
@@ -4,7 +4,6 @@
 	"errors"
 	"fmt"
 	"maps"
-	"net"
 	"slices"
 	"strings"
 
@@ -14,17 +13,13 @@
 )
 
 // openDoor has operators heard where the configuration says, if it does.
-func (r *node) openDoor() error {
+func (r *node) openDoor(old *predecessor) error {
 	if r.cfg.Control == "" {
 		return nil
 	}
-	var lis net.Listener
-	err := retry(func() (err error) {
-		lis, err = net.Listen("tcp", r.cfg.Control)
-		return err
-	})
+	lis, err := r.listener(old, listenDoor, "control", r.cfg.Control)
 	if err != nil {
-		return fmt.Errorf("field control: %w", err)
+		return err
 	}
 	r.door = control.Open(r.loop, r.net, lis, r, r.log)
 	r.log.Info("operators' door", "control", r.door.Addr())
@@ -36,6 +31,8 @@
 	switch {
 	case r.draining:
 		return errors.New("draining")
+	case r.successor:
+		return errors.New("a successor accepts")
 	case !r.ready:
 		return errors.New("starting")
 	}
@@ -64,12 +61,24 @@
 }
 
 // Exclude implements control.Operators.
-func (r *node) Exclude(id string) bool { return order(id, r.core.Exclude) }
+func (r *node) Exclude(id string, answer func(bool)) { r.order(id, true, answer) }
 
 // Include implements control.Operators.
-func (r *node) Include(id string) bool { return order(id, r.core.Include) }
+func (r *node) Include(id string, answer func(bool)) { r.order(id, false, answer) }
 
-func order(id string, f func(brain.EngineID) bool) bool {
+func (r *node) order(id string, exclude bool, answer func(bool)) {
 	n, err := board.ParseID(id)
-	return err == nil && f(n)
+	if err != nil {
+		answer(false)
+		return
+	}
+	r.tellBan(n, exclude, r.ban(n, exclude), answer)
+}
+
+// ban carries out an operator's word in this process.
+func (r *node) ban(id brain.EngineID, exclude bool) bool {
+	if exclude {
+		return r.core.Exclude(id)
+	}
+	return r.core.Include(id)
 }
--- a/cmd/windflow/reload_test.go
+++ b/cmd/windflow/reload_test.go
@@ -62,6 +62,7 @@
 	path := filepath.Join(t.TempDir(), "config.json")
 	writeConfig(t, path, oldAddr, mixedSettings)
 	t.Setenv("PROXY_CONFIG", path)
+	t.Setenv("TMPDIR", t.TempDir())
 	ended := make(chan error, 1)
 	go func() { ended <- run(options{}) }()
 	hup := func() {
--- /dev/null
+++ b/cmd/windflow/upgrade_test.go
@@ -0,0 +1,499 @@
+package main
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	fsql "github.com/apache/arrow-go/v18/arrow/flight/flightsql"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+)
+
+// TestMain runs the program itself where a test has started this binary as a router.
+func TestMain(m *testing.M) {
+	if os.Getenv("WINDFLOW_TEST_ROUTER") != "" {
+		os.Args = append([]string{"windflow"}, strings.Fields(os.Getenv("WINDFLOW_TEST_ROUTER"))...)
+		main()
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+// slowEngine is a stand-in whose statements with "slow" in them run until they are released; it notes what ran.
+type slowEngine struct {
+	mu       sync.Mutex
+	ran      map[string]int
+	slow     map[string]bool
+	released chan struct{}
+	started  chan string // ids of slow ones
+}
+
+func (e *slowEngine) serve(t *testing.T) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := &http.Server{Handler: e}
+	go func() { _ = s.Serve(lis) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return lis.Addr().String()
+}
+
+func (e *slowEngine) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get("Call-Id")
+	if r.Method == http.MethodPost {
+		body, _ := io.ReadAll(r.Body)
+		e.mu.Lock()
+		e.ran[id]++
+		e.slow[id] = strings.Contains(string(body), "slow")
+		e.mu.Unlock()
+		if strings.Contains(string(body), "slow") {
+			e.started <- id
+		}
+	} else {
+		id = strings.Split(r.URL.Path, "/")[2]
+	}
+	e.mu.Lock()
+	slow := e.slow[id]
+	e.mu.Unlock()
+	if slow {
+		select {
+		case <-e.released:
+		case <-time.After(100 * time.Millisecond):
+			w.WriteHeader(http.StatusAccepted)
+			return
+		}
+	}
+	w.Header().Set("X-Parts", "1")
+	fmt.Fprint(w, "a\tb\tc\n")
+}
+
+func (e *slowEngine) total() int {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	n := 0
+	for _, k := range e.ran {
+		n += k
+	}
+	return n
+}
+
+// neighbour is a stand-in for the BGP neighbour: it takes sessions and notes what comes on them.
+type neighbour struct {
+	sessions chan int      // numbered from 1
+	updates  chan string   // "announce" or "withdraw"
+	beats    chan struct{} // KEEPALIVEs
+	ended    chan int
+}
+
+func (n *neighbour) serve(t *testing.T) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for i := 1; ; i++ {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			n.sessions <- i
+			go n.speak(c, i)
+		}
+	}()
+	return lis.Addr().String()
+}
+
+func (n *neighbour) speak(c net.Conn, i int) {
+	defer func() { n.ended <- i }()
+	defer c.Close()
+	say := func(kind byte, body ...byte) {
+		b := append(make([]byte, 0, 32), strings.Repeat("\xff", 16)...)
+		b = binary.BigEndian.AppendUint16(b, uint16(19+len(body)))
+		_, _ = c.Write(append(append(b, kind), body...))
+	}
+	for {
+		var head [19]byte
+		if _, err := io.ReadFull(c, head[:]); err != nil {
+			return
+		}
+		body := make([]byte, int(binary.BigEndian.Uint16(head[16:]))-19)
+		if _, err := io.ReadFull(c, body); err != nil {
+			return
+		}
+		switch head[18] {
+		case 1:
+			say(1, 4, 0xfc, 0, 0, 3, 10, 0, 0, 9, 0) // AS 64512, hold time 3 s, id 10.0.0.9, no parameters
+			say(4)
+		case 2:
+			what := "announce"
+			if binary.BigEndian.Uint16(body) > 0 {
+				what = "withdraw"
+			}
+			n.updates <- what
+		case 4:
+			say(4)
+			select {
+			case n.beats <- struct{}{}:
+			default:
+			}
+		}
+	}
+}
+
+// fleet is what the processes of one router are started with.
+type fleet struct {
+	t       *testing.T
+	config  string // path
+	clients net.Listener
+	env     []string
+	args    string
+}
+
+func (f *fleet) start(control string) *exec.Cmd {
+	f.t.Helper()
+	exe, err := os.Executable()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	file, err := f.clients.(*net.TCPListener).File()
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	defer file.Close()
+	cmd := exec.Command(exe)
+	cmd.ExtraFiles = []*os.File{file} // descriptor 3
+	cmd.Env = append(append(os.Environ(), f.env...), "PROXY_CONTROL="+control)
+	cmd.Stderr = os.Stderr
+	if !testing.Verbose() {
+		cmd.Stderr = nil
+	}
+	if err := cmd.Start(); err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() {
+		_ = cmd.Process.Kill()
+		_ = cmd.Wait()
+	})
+	return cmd
+}
+
+// call makes one call at a door and gives its status, 0 where nobody is there.
+func (f *fleet) call(method, control, path string) int {
+	r, err := http.NewRequest(method, "http://"+control+path, nil)
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	r.Close = true
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0
+	}
+	_ = answer.Body.Close()
+	return answer.StatusCode
+}
+
+func (f *fleet) waitFor(what string, ok func() bool) {
+	f.t.Helper()
+	for range 2000 {
+		if ok() {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	f.t.Fatal("it never came to this: " + what)
+}
+
+func (f *fleet) ready(control string) {
+	f.t.Helper()
+	f.waitFor("ready at "+control, func() bool { return f.call("GET", control, "/api/ready") == 200 })
+}
+
+func (f *fleet) client() *mysqlClient {
+	f.t.Helper()
+	c, err := dialMySQL(f.clients.Addr().String())
+	if err != nil {
+		f.t.Fatal(err)
+	}
+	f.t.Cleanup(func() { _ = c.c.Close() })
+	return c
+}
+
+// freePort gives an address on which nobody listens now.
+func freePort(t *testing.T) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	return lis.Addr().String()
+}
+
+// newFleet writes the configuration of a router with two engines; the clients' socket is the test's, as the platform's.
+func newFleet(t *testing.T, engines ...*slowEngine) *fleet {
+	t.Helper()
+	f := &fleet{t: t, config: filepath.Join(t.TempDir(), "config.json")}
+	var err error
+	if f.clients, err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = f.clients.Close() })
+	var members []string
+	for i, e := range engines {
+		members = append(members, fmt.Sprintf(
+			`{"id":"s-0000000%d","host_port":"%s","locality":"a","flavor":"std","phase":"active","size":1}`, i+1, e.serve(t)))
+	}
+	text := fmt.Sprintf(`{"name":"n0","listen":"%s","seed":"1f","limits":{"cores":1,"memory_mb":192,"sockets":1024},
+		"board":"%s","known":{"rev":1,"notices":[{"rev":1,"pool":{"revision":1,"complete":true,"members":[%s]}}]},
+		"settings":%s}`, f.clients.Addr(), noticeBoard(t), strings.Join(members, ","), mixedSettings)
+	if err := os.WriteFile(f.config, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	dir, err := os.MkdirTemp("", "wf") // short: the path of a Unix socket has its bound
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = os.RemoveAll(dir) })
+	f.env = []string{"PROXY_CONFIG=" + f.config, "TMPDIR=" + dir, "PROXY_PASSED_SOCKET=3", "WINDFLOW_TEST_ROUTER=-debug"}
+	return f
+}
+
+func newSlowEngine() *slowEngine {
+	return &slowEngine{ran: map[string]int{}, slow: map[string]bool{}, released: make(chan struct{}),
+		started: make(chan string, 16)}
+}
+
+func query(class string, id int, statement string) string {
+	return fmt.Sprintf("/* method=%s,rid=%016x,budget=20000 */ %s", class, id, statement)
+}
+
+// An upgrade with two real processes. It guards against all that would show that they are two: a request turned away or
+// left without its answer, a ban that is forgotten, an id that runs twice, a kill that does not arrive, a ticket that is
+// spent twice, a BGP session that ends.
+func TestUpgrade(t *testing.T) {
+	one, two := newSlowEngine(), newSlowEngine()
+	f := newFleet(t, one, two)
+	peer := &neighbour{sessions: make(chan int, 8), updates: make(chan string, 8), beats: make(chan struct{}, 64),
+		ended: make(chan int, 8)}
+	dir := filepath.Dir(f.config)
+	flightAt := freePort(t)
+	for name, text := range map[string]string{
+		"flight.toml": fmt.Sprintf("listen = %q\nengine_kinds = []\n", flightAt),
+		"bgp.toml": fmt.Sprintf("peer = %q\npeer_as = 64512\nlocal_as = 64513\nrouter_id = \"10.0.0.1\"\n"+
+			"prefixes = [\"10.1.0.1/32\"]\nnext_hop = \"10.0.0.1\"\nhold_time_s = 3\n", peer.serve(t)),
+	} {
+		if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+	}
+	f.env = append(f.env, fmt.Sprintf("WINDFLOW_TEST_ROUTER=-debug -flightsql %s -bgp %s", filepath.Join(dir, "flight.toml"),
+		filepath.Join(dir, "bgp.toml")))
+
+	doorA, doorB := freePort(t), freePort(t)
+	old := f.start(doorA)
+	f.ready(doorA)
+	if what := <-peer.updates; what != "announce" || <-peer.sessions != 1 {
+		t.Fatal("the first update is a", what)
+	}
+	if f.call("POST", doorA, "/api/exclude/s-00000002") != 200 || f.call("POST", doorA, "/api/exclude/s-00000009") != 404 {
+		t.Error("a ban was not taken, or one of an engine that was never listed was")
+	}
+	slow, killed, idle := f.client(), f.client(), f.client()
+	if rows, code, err := idle.ask(query("load", 7, "SELECT 1")); rows != 1 || code != 0 || err != nil {
+		t.Fatal(rows, code, err)
+	}
+	answer := make(chan error, 2)
+	ask := func(c *mysqlClient, id, wantRows, wantCode int) {
+		go func() {
+			rows, code, err := c.ask(query("lookup", id, "slow"))
+			if err == nil && (rows != wantRows || code != wantCode) {
+				err = fmt.Errorf("request %d: %d rows, error %d", id, rows, code)
+			}
+			answer <- err
+		}()
+		<-one.started
+	}
+	var killedID string
+	if err := killed.write(0, append([]byte{3}, "SELECT CONNECTION_ID()"...)); err != nil {
+		t.Fatal(err)
+	}
+	for i := range 5 { // columns, their definition, EOF, a row, EOF
+		p, err := killed.packet()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if i == 3 {
+			killedID = string(p[1:])
+		}
+	}
+	ask(killed, 8, 0, 1317)
+	flightOld, err := fsql.NewClient(flightAt, nil, nil, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer flightOld.Close()
+	call := metadata.AppendToOutgoingContext(context.Background(), "method", "load", "rid", "00000000000000ff", "budget", "20000")
+	info, err := flightOld.Execute(call, "SELECT 1")
+	if err != nil {
+		t.Fatal(err)
+	}
+
+	f.start(doorB)
+	f.ready(doorB)
+	if got := f.call("GET", doorA, "/api/ready"); got != 503 {
+		t.Errorf("the old process says %d when asked whether it is ready", got)
+	}
+	fresh := f.client() // the old process accepts no more, so this one is the new one's
+	if err := fresh.write(0, append([]byte{3}, "KILL QUERY "+killedID...)); err != nil {
+		t.Fatal(err)
+	}
+	if p, err := fresh.packet(); err != nil || p[0] != 0 {
+		t.Errorf("KILL QUERY of a session of the old process: % x, %v", p, err)
+	}
+	if err := <-answer; err != nil {
+		t.Error("the killed one:", err)
+	}
+	ask(slow, 9, 1, 0)
+	for id, why := range map[int]string{7: "a load that ran before", 9: "a request that is open in the old process"} {
+		if _, code, err := fresh.ask(query("load", id, "SELECT 2")); code != 1064 || err != nil {
+			t.Errorf("the id of %s: error %d, %v", why, code, err)
+		}
+	}
+	before := two.total()
+	for id := 100; id < 130; id++ {
+		if rows, code, err := fresh.ask(query("lookup", id, "SELECT 3")); rows != 1 || code != 0 || err != nil {
+			t.Fatal(rows, code, err)
+		}
+	}
+	if before != 0 || two.total() != 0 {
+		t.Error("the ban was forgotten")
+	}
+
+	// A ticket of the old process, fetched from the new one, is spent in both.
+	flightNew, err := fsql.NewClient(flightAt, nil, nil, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer flightNew.Close()
+	r, err := flightNew.DoGet(context.Background(), info.Endpoint[0].Ticket)
+	if err != nil {
+		t.Fatal("the ticket of the old process:", err)
+	}
+	r.Release()
+	for name, c := range map[string]*fsql.Client{"old": flightOld, "new": flightNew} {
+		if _, err := c.DoGet(context.Background(), info.Endpoint[0].Ticket); status.Code(err) != codes.NotFound {
+			t.Errorf("the ticket, a second time, from the %s process: %v", name, err)
+		}
+	}
+
+	if err := old.Process.Signal(syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := idle.packet(); err != io.EOF {
+		t.Error("an idle session of the old process was not closed:", err)
+	}
+	select {
+	case err := <-answer:
+		t.Fatal("the open request was answered early:", err)
+	default:
+	}
+	close(one.released)
+	if err := <-answer; err != nil {
+		t.Error("the open request:", err)
+	}
+	if err := old.Wait(); err != nil {
+		t.Error("the old process:", err)
+	}
+	if f.call("POST", doorB, "/api/include/s-00000002") != 200 {
+		t.Error("the new process does not know the engine that was excluded in the old one")
+	}
+	for range 30 {
+		if rows, code, err := fresh.ask(query("lookup", 1000+two.total()+one.total(), "SELECT 4")); rows != 1 || code != 0 || err != nil {
+			t.Fatal(rows, code, err)
+		}
+	}
+	if two.total() == 0 {
+		t.Error("the engine got nothing after the word back")
+	}
+	for len(peer.beats) > 0 {
+		<-peer.beats
+	}
+	<-peer.beats // the session that the old process opened goes on
+	<-peer.beats
+	select {
+	case n := <-peer.ended:
+		t.Errorf("BGP session %d ended", n)
+	default:
+	}
+	for len(peer.updates) > 0 {
+		if what := <-peer.updates; what == "withdraw" {
+			t.Error("an address was withdrawn")
+		}
+	}
+	if n := len(peer.sessions); n > 0 {
+		t.Errorf("%d further BGP sessions", n)
+	}
+}
+
+// Should the new process end first, the old one goes on as before: it accepts, is ready, and can be upgraded. So it does
+// where the door is on the same address in both.
+func TestSuccessorEnds(t *testing.T) {
+	one := newSlowEngine()
+	f := newFleet(t, one)
+	door := freePort(t)
+	f.start(door)
+	f.ready(door)
+	f.client()
+	for round := range 2 {
+		next := f.start(door)
+		// The door is the same for both, so the log of the processes would tell which one answers; the meeting point
+		// does too: the new one has taken it once it can be killed in the old one's place.
+		f.waitFor("the successor's socket", func() bool {
+			paths, _ := filepath.Glob(filepath.Join(strings.TrimPrefix(f.env[1], "TMPDIR="), "wf-*.sock"))
+			if len(paths) != 1 {
+				return false
+			}
+			c, err := net.DialUnix("unix", nil, &net.UnixAddr{Name: paths[0], Net: "unix"})
+			if err != nil {
+				return false
+			}
+			defer c.Close()
+			raw, _ := c.SyscallConn()
+			pid := 0
+			_ = raw.Control(func(fd uintptr) {
+				if cred, err := syscall.GetsockoptUcred(int(fd), syscall.SOL_SOCKET, syscall.SO_PEERCRED); err == nil {
+					pid = int(cred.Pid)
+				}
+			})
+			return pid == next.Process.Pid
+		})
+		f.ready(door)
+		if err := next.Process.Kill(); err != nil {
+			t.Fatal(err)
+		}
+		_ = next.Wait()
+		f.ready(door)
+		if rows, code, err := f.client().ask(query("lookup", 1+round, "SELECT 1")); rows != 1 || code != 0 || err != nil {
+			t.Errorf("round %d, after the successor's end: %d rows, error %d, %v", round, rows, code, err)
+		}
+	}
+}
--- a/internal/bgp/speaker.go
+++ b/internal/bgp/speaker.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net/netip"
+	"os"
 	"reflect"
 	"slices"
 
@@ -46,6 +47,7 @@
 	log      *slog.Logger
 	announce bool // the service is ready
 	stopped  bool
+	awaits   bool // another process has the session
 	session  *session
 	retry    *router.Timer
 	Counters Counters
@@ -58,6 +60,89 @@
 	return s
 }
 
+// Await returns a speaker that does not connect by itself: the process that this one takes over from has the session,
+// and gives it to Adopt in the end.
+func Await(loop *router.Loop, dialer netio.Dialer, cfg Config, log *slog.Logger) *Speaker {
+	return &Speaker{cfg: cfg, loop: loop, dialer: dialer, log: log, awaits: true}
+}
+
+// Handed is a session on its way to another process.
+type Handed struct {
+	Peer    string         `json:"peer"`
+	HoldMS  float64        `json:"hold_ms"`
+	FourB   bool           `json:"four_b"`
+	Unread  []byte         `json:"unread"` // the beginning of a message
+	Told    []netip.Prefix `json:"told"`
+	NextHop netip.Addr     `json:"next_hop"`
+}
+
+// HandOver gives the session up for another process to go on with: nothing is withdrawn, since the neighbour sees no
+// end of it. f hears nil where there is none to give; the other process then connects itself, after this one has ended
+// what it had.
+func (s *Speaker) HandOver(f func(Handed, *os.File)) {
+	p := s.session
+	s.stopped = true
+	s.retry.Stop()
+	if p == nil || p.state != Established {
+		if p != nil {
+			p.end(&Notification{Code: 6, Subcode: 2}, "handed over")
+		}
+		f(Handed{}, nil)
+		return
+	}
+	p.conn.Detach(func(file *os.File) {
+		if file == nil {
+			p.end(&Notification{Code: 6, Subcode: 2}, "handed over")
+			f(Handed{}, nil)
+			return
+		}
+		p.state = Idle
+		p.hold.Stop()
+		p.keepalive.Stop()
+		s.session = nil
+		s.log.Info("bgp session handed over", "peer", s.cfg.Peer)
+		f(Handed{Peer: s.cfg.Peer, HoldMS: p.holdMS, FourB: p.fourB, Unread: p.buf, Told: s.cfg.Prefixes,
+			NextHop: netip.Addr(s.cfg.NextHop)}, file)
+	})
+}
+
+// Adopter takes an open connection over.
+type Adopter interface {
+	Adopt(*os.File, netio.Handler) error
+}
+
+// Adopt goes on with a session that another process gave up, or connects where there is none or it can't be used.
+func (s *Speaker) Adopt(a Adopter, h Handed, file *os.File) {
+	if !s.awaits {
+		if file != nil {
+			_ = file.Close()
+		}
+		return
+	}
+	s.awaits = false
+	if file != nil && h.Peer == s.cfg.Peer {
+		p := &session{s: s, state: Established, holdMS: h.HoldMS, fourB: h.FourB, buf: h.Unread}
+		if err := a.Adopt(file, p); err == nil {
+			s.session = p
+			s.log.Info("bgp session taken over", "peer", s.cfg.Peer)
+			p.heard()
+			p.beat()
+			old := s.cfg
+			old.Prefixes = slices.DeleteFunc(h.Told, func(p netip.Prefix) bool { return slices.Contains(s.cfg.Prefixes, p) })
+			if len(old.Prefixes) > 0 {
+				p.advertise(old, false)
+			}
+			if s.announce { // what was announced before is announced in place of itself
+				p.advertise(s.cfg, true)
+			}
+			return
+		}
+	} else if file != nil {
+		_ = file.Close()
+	}
+	s.connect()
+}
+
 // State is the session's state.
 func (s *Speaker) State() State {
 	if s.session == nil {
@@ -119,7 +204,7 @@
 }
 
 func (s *Speaker) connect() {
-	if s.stopped {
+	if s.stopped || s.awaits {
 		return
 	}
 	s.Counters.Connects++
@@ -144,6 +229,9 @@
 func (p *session) Opened(c netio.Conn) {
 	cfg := p.s.cfg
 	p.conn = c
+	if p.state == Established {
+		return // taken over
+	}
 	p.state = OpenSent
 	_ = p.conn.Write(encodeOpen(open{as: cfg.LocalAS, hold: uint16(cfg.HoldTimeS), id: cfg.RouterID}))
 	p.holdMS = openHold
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/hex"
 	"log/slog"
+	"os"
 	"slices"
 	"strings"
 	"testing"
@@ -108,9 +109,10 @@
 	e.d.written = append(e.d.written, hex.EncodeToString(b))
 	return nil
 }
-func (e *end) Close()           {}
-func (e *end) Linger()          {}
-func (e *end) Flushed(f func()) { f() }
+func (e *end) Close()                  {}
+func (e *end) Linger()                 {}
+func (e *end) Flushed(f func())        { f() }
+func (e *end) Detach(f func(*os.File)) { f(nil) }
 
 // A bad frame, a gap or silence ends the link, keeps the list, and the next link goes on from the last good
 // event.
--- a/internal/control/door.go
+++ b/internal/control/door.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net"
+	"os"
 	"strings"
 
 	"windflow/internal/netio"
@@ -18,9 +19,10 @@
 	Ready() error
 	// Telemetry gives the figures, a line each.
 	Telemetry() string
-	// Exclude and Include say no to an id that no list of engines has named.
-	Exclude(id string) bool
-	Include(id string) bool
+	// Exclude and Include answer with no to an id that no list of engines has named. The answer comes once the ban is
+	// in force, or ended, in all processes that stand for the router.
+	Exclude(id string, answer func(bool))
+	Include(id string, answer func(bool))
 }
 
 const (
@@ -59,6 +61,12 @@
 // Addr is where the door listens.
 func (d *Door) Addr() string { return d.listener.Addr() }
 
+// Reopen opens a door that was closed.
+func (d *Door) Reopen(lis net.Listener) { d.listener = d.listener.Again(lis) }
+
+// File gives a copy of the listener's descriptor.
+func (d *Door) File() (*os.File, error) { return d.listener.File() }
+
 // Close closes the door to new callers; those that are inside are answered.
 func (d *Door) Close() { d.listener.Close() }
 
@@ -66,12 +74,13 @@
 
 // caller is one connection.
 type caller struct {
-	door  *Door
-	conn  netio.Conn
-	buf   []byte
-	seq   int64 // callers are numbered as they come
-	timer *router.Timer
-	over  bool
+	door   *Door
+	conn   netio.Conn
+	buf    []byte
+	seq    int64 // callers are numbered as they come
+	timer  *router.Timer
+	called bool // the call has come whole
+	over   bool
 }
 
 // Opened implements netio.Handler.
@@ -80,8 +89,9 @@
 	c.conn = conn
 	d.seq++
 	c.seq = d.seq
-	if len(d.callers) >= maxCallers {
-		d.evict()
+	if len(d.callers) >= maxCallers && !d.evict() {
+		conn.Close()
+		return
 	}
 	d.callers[c] = true
 	c.timer = d.loop.After(callWithin, func() {
@@ -91,21 +101,28 @@
 }
 
 // evict closes the caller that has sent the least, the oldest of those.
-func (d *Door) evict() {
+func (d *Door) evict() bool {
 	var least *caller
 	for c := range d.callers {
+		if c.called {
+			continue // its answer is on the way
+		}
 		if least == nil || len(c.buf) < len(least.buf) || len(c.buf) == len(least.buf) && c.seq < least.seq {
 			least = c
 		}
 	}
+	if least == nil {
+		return false
+	}
 	d.Counters.Evicted++
 	least.leave()
 	least.conn.Close()
+	return true
 }
 
 // Data implements netio.Handler.
 func (c *caller) Data(b []byte, _ float64) {
-	if c.over {
+	if c.over || c.called {
 		return
 	}
 	c.buf = append(c.buf, b...)
@@ -119,13 +136,8 @@
 		c.answer(400, err.Error())
 	case k != nil:
 		c.door.Counters.Calls++
-		code, text := c.door.carryOut(k)
-		if code < 300 {
-			c.door.Counters.Answered++
-		} else {
-			c.door.Counters.Denied++
-		}
-		c.answer(code, text)
+		c.called = true
+		c.door.carryOut(k, c.answer)
 	}
 }
 
@@ -146,6 +158,13 @@
 	if c.over {
 		return
 	}
+	switch {
+	case !c.called:
+	case code < 300:
+		c.door.Counters.Answered++
+	default:
+		c.door.Counters.Denied++
+	}
 	if !strings.HasSuffix(text, "\n") {
 		text += "\n"
 	}
@@ -164,31 +183,38 @@
 }
 
 // carryOut does what a call asks. With 405 the text is the method that is allowed.
-func (d *Door) carryOut(k *call) (code int, text string) {
-	orders := map[string]func(string) bool{"/api/exclude/": d.ops.Exclude, "/api/include/": d.ops.Include}
-	for prefix, order := range orders {
+func (d *Door) carryOut(k *call, answer func(code int, text string)) {
+	for prefix, order := range map[string]func(string, func(bool)){"/api/exclude/": d.ops.Exclude, "/api/include/": d.ops.Include} {
 		id, ok := strings.CutPrefix(k.path, prefix)
 		switch {
 		case !ok:
 			continue
 		case k.method != "POST":
-			return 405, "POST"
-		case !order(id):
-			return 404, "no engine of that id was ever listed"
+			answer(405, "POST")
+		default:
+			order(id, func(known bool) {
+				d.log.Info("operator's call", "path", k.path, "known", known)
+				if !known {
+					answer(404, "no engine of that id was ever listed")
+					return
+				}
+				answer(200, "done")
+			})
 		}
-		d.log.Info("operator's call", "path", k.path)
-		return 200, "done"
+		return
 	}
 	switch {
 	case k.path != "/api/ready" && k.path != "/api/telemetry":
-		return 404, "there is /api/ready, /api/telemetry, /api/exclude/ID and /api/include/ID"
+		answer(404, "there is /api/ready, /api/telemetry, /api/exclude/ID and /api/include/ID")
 	case k.method != "GET":
-		return 405, "GET"
+		answer(405, "GET")
 	case k.path == "/api/telemetry":
-		return 200, d.ops.Telemetry()
-	}
-	if err := d.ops.Ready(); err != nil {
-		return 503, err.Error()
+		answer(200, d.ops.Telemetry())
+	default:
+		if err := d.ops.Ready(); err != nil {
+			answer(503, err.Error())
+			return
+		}
+		answer(200, "ready")
 	}
-	return 200, "ready"
 }
--- a/internal/control/door_test.go
+++ b/internal/control/door_test.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -22,15 +23,14 @@
 
 func (d *desk) Ready() error      { return d.down }
 func (d *desk) Telemetry() string { return "svc.outstanding:14|g\n" }
-func (d *desk) order(word, id string) bool {
-	if id != "s-00c41f7a" {
-		return false
+func (d *desk) order(word, id string, answer func(bool)) {
+	if id == "s-00c41f7a" {
+		fmt.Fprintf(d.out, "  %s %s\n", word, id)
 	}
-	fmt.Fprintf(d.out, "  %s %s\n", word, id)
-	return true
+	answer(id == "s-00c41f7a")
 }
-func (d *desk) Exclude(id string) bool { return d.order("exclude", id) }
-func (d *desk) Include(id string) bool { return d.order("include", id) }
+func (d *desk) Exclude(id string, answer func(bool)) { d.order("exclude", id, answer) }
+func (d *desk) Include(id string, answer func(bool)) { d.order("include", id, answer) }
 
 // wire is a stand-in for a connection.
 type wire struct {
@@ -53,8 +53,9 @@
 		fmt.Fprintf(w.out, "  %s closed\n", w.name)
 	}
 }
-func (w *wire) Linger()          { w.Close() }
-func (w *wire) Flushed(f func()) { f() }
+func (w *wire) Linger()                 { w.Close() }
+func (w *wire) Flushed(f func())        { f() }
+func (w *wire) Detach(f func(*os.File)) { f(nil) }
 
 // Calls, good and bad, whole and in pieces, each get one answer; callers that stay silent shut nobody out. A line is
 // played: NAME opens a caller and NAME TEXT has it send; 'wait MS' lets time go by; 'down WHY' and 'up' say whether the
--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -85,6 +85,8 @@
 func (c *Client) Configure(cfg Config) {
 	c.connectTimeout, c.idleFor = cfg.ConnectTimeoutMS, min(cfg.IdleMS/2, 10_000)
 	c.pool.max = cfg.MaxConns
+	for c.pool.total > c.pool.max && c.pool.evict() {
+	}
 	c.pool.next()
 }
 
--- a/internal/flightsql/front.go
+++ b/internal/flightsql/front.go
@@ -9,6 +9,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"net"
+	"os"
 	"strconv"
 	"sync"
 	"sync/atomic"
@@ -57,7 +58,12 @@
 	log    *slog.Logger
 	server *grpc.Server
 	addr   string
+	most   int // connections at once
 	active atomic.Int64
+	claim  atomic.Pointer[func(handle string) *Ticket]
+
+	listening sync.Mutex
+	lis       net.Listener // nil while it does not accept
 
 	mu      sync.Mutex
 	rng     *rand.ChaCha8
@@ -84,25 +90,28 @@
 
 // ticket is a query that a client described and may now fetch.
 type ticket struct {
-	handle  string
-	request router.Request
-	end     float64 // the latest end that the client's fields name; 0 for none
-	expires float64
-	once    bool
-	place   *list.Element // in order
+	Ticket
+	place *list.Element // in order
 }
 
-// Listen starts a front; seed makes its tickets hard to guess.
-func Listen(cfg Config, core *router.Core, loop *router.Loop, seed uint64, log *slog.Logger) (*Front, error) {
-	lis, err := net.Listen("tcp", cfg.Listen)
-	if err != nil {
-		return nil, err
-	}
+// Ticket is a ticket as processes hand it to each other.
+type Ticket struct {
+	Handle  string
+	Request router.Request
+	End     float64 // the latest end that the client's fields name; 0 for none
+	Expires float64
+	Once    bool
+}
+
+// Listen starts a front on a listener, which it takes over; seed makes its tickets hard to guess, and two processes of
+// one router that share one differ in generation.
+func Listen(cfg Config, lis net.Listener, core *router.Core, loop *router.Loop, seed uint64, generation uint8, log *slog.Logger) (*Front, error) {
 	var key [32]byte
 	for i := range key {
 		key[i] = byte(seed >> (8 * (i % 8)))
 	}
-	f := &Front{core: core, loop: loop, log: log, addr: lis.Addr().String(), tickets: map[string]*ticket{},
+	key[len(key)-1] ^= generation
+	f := &Front{core: core, loop: loop, log: log, addr: lis.Addr().String(), most: cfg.MaxConnections, tickets: map[string]*ticket{},
 		order: list.New(), rng: rand.NewChaCha8(key)}
 	f.Alloc = memory.DefaultAllocator
 	for id, value := range about {
@@ -115,14 +124,56 @@
 		grpc.ConnectionTimeout(5*time.Second), grpc.MaxHeaderListSize(16<<10),
 		grpc.UnaryInterceptor(f.guardUnary), grpc.StreamInterceptor(f.guardStream))
 	flight.RegisterFlightServiceServer(f.server, flightsql.NewFlightServer(f))
+	f.Accept(lis)
+	return f, nil
+}
+
+// Accept takes calls on a listener, which it takes over.
+func (f *Front) Accept(lis net.Listener) {
+	f.listening.Lock()
+	f.lis = lis
+	f.listening.Unlock()
 	go func() {
-		if err := f.server.Serve(netutil.LimitListener(lis, cfg.MaxConnections)); err != nil {
-			log.Error("flight sql front ended", "err", err)
+		err := f.server.Serve(netutil.LimitListener(lis, f.most))
+		f.listening.Lock()
+		defer f.listening.Unlock()
+		if f.lis == lis && err != nil {
+			f.log.Error("flight sql front ended", "err", err)
 		}
 	}()
-	return f, nil
 }
 
+// Pause stops accepting and gives a copy of the listener's descriptor to go on with; connections that are open stay.
+func (f *Front) Pause() (*os.File, error) {
+	f.listening.Lock()
+	defer f.listening.Unlock()
+	file, err := f.file()
+	if f.lis != nil {
+		lis := f.lis
+		f.lis = nil
+		_ = lis.Close()
+	}
+	return file, err
+}
+
+// File gives a copy of the listener's descriptor.
+func (f *Front) File() (*os.File, error) {
+	f.listening.Lock()
+	defer f.listening.Unlock()
+	return f.file()
+}
+
+func (f *Front) file() (*os.File, error) {
+	tcp, ok := f.lis.(*net.TCPListener)
+	if !ok {
+		return nil, errors.New("no TCP listener")
+	}
+	return tcp.File()
+}
+
+// Leave tells clients to go on at the other process, and lets calls that are at hand end.
+func (f *Front) Leave() { go f.server.GracefulStop() }
+
 // Addr is where it listens.
 func (f *Front) Addr() string { return f.addr }
 
@@ -213,14 +264,14 @@
 		return nil, err
 	}
 	class, _ := f.core.Class(r.Class)
-	t := &ticket{request: *r, expires: f.loop.Now() + ticketLife, once: class.Semantics != brain.Idempotent}
+	t := &ticket{Ticket: Ticket{Request: *r, Expires: f.loop.Now() + ticketLife, Once: class.Semantics != brain.Idempotent}}
 	if md, _ := metadata.FromIncomingContext(ctx); len(md.Get(router.FieldBudget)) > 0 {
-		t.end = r.Sent + r.Budget // a deadline of the call itself binds that call only
+		t.End = r.Sent + r.Budget // a deadline of the call itself binds that call only
 	}
 	if !f.keep(t) {
 		return nil, f.refusal(ctx, 1000)
 	}
-	bytes, err := flightsql.CreateStatementQueryTicket([]byte(t.handle))
+	bytes, err := flightsql.CreateStatementQueryTicket([]byte(t.Handle))
 	if err != nil {
 		return nil, status.Error(codes.Internal, err.Error())
 	}
@@ -232,45 +283,99 @@
 
 // keep stores a ticket under a new handle; false says that there is no room.
 func (f *Front) keep(t *ticket) bool {
-	now := f.loop.Now()
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	for e := f.order.Front(); e != nil && e.Value.(*ticket).expires <= now; e = f.order.Front() {
+	var raw [16]byte
+	_, _ = f.rng.Read(raw[:])
+	t.Handle = hex.EncodeToString(raw[:])
+	return f.put(t)
+}
+
+// put stores a ticket; f.mu is held.
+func (f *Front) put(t *ticket) bool {
+	now := f.loop.Now()
+	for e := f.order.Front(); e != nil && e.Value.(*ticket).Expires <= now; e = f.order.Front() {
 		f.drop(e.Value.(*ticket))
 	}
-	if len(f.tickets) >= maxTickets || f.bytes+len(t.request.Statement) > maxTicketBytes {
+	if len(f.tickets) >= maxTickets || f.bytes+len(t.Request.Statement) > maxTicketBytes || f.tickets[t.Handle] != nil {
 		return false
 	}
-	var raw [16]byte
-	_, _ = f.rng.Read(raw[:])
-	t.handle = hex.EncodeToString(raw[:])
-	f.tickets[t.handle] = t
-	f.bytes += len(t.request.Statement)
+	f.tickets[t.Handle] = t
+	f.bytes += len(t.Request.Statement)
 	t.place = f.order.PushBack(t)
 	return true
 }
 
+// SetClaim says how to ask the other process of this router for a ticket that is not here; claim waits for the answer.
+// Each ticket is with one process at a time, so that none is spent twice.
+func (f *Front) SetClaim(claim func(handle string) *Ticket) { f.claim.Store(&claim) }
+
+// Release gives a ticket up to the other process; nil says that it is not here.
+func (f *Front) Release(handle string) *Ticket {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	t := f.tickets[handle]
+	if t == nil || t.Expires <= f.loop.Now() {
+		return nil
+	}
+	f.drop(t)
+	return &t.Ticket
+}
+
+// ReleaseAll gives all tickets up.
+func (f *Front) ReleaseAll() (all []Ticket) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for f.order.Len() > 0 {
+		t := f.order.Front().Value.(*ticket)
+		f.drop(t)
+		all = append(all, t.Ticket)
+	}
+	return all
+}
+
+// Take takes tickets over that the other process gave up.
+func (f *Front) Take(all []Ticket) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, t := range all {
+		f.put(&ticket{Ticket: t})
+	}
+}
+
 // drop takes a ticket out and leaves nothing of it behind, so that the bounds hold for what is kept in all;
 // f.mu is held.
 func (f *Front) drop(t *ticket) {
-	delete(f.tickets, t.handle)
-	f.bytes -= len(t.request.Statement)
+	delete(f.tickets, t.Handle)
+	f.bytes -= len(t.Request.Statement)
 	f.order.Remove(t.place)
 }
 
 // redeem gives the query of a ticket. The ticket of what must not run twice is spent by it, so that a client
 // that fetches again, or two that share a ticket, cannot run it again.
-func (f *Front) redeem(handle string) (*ticket, bool) {
+func (f *Front) redeem(handle string) (*Ticket, bool) {
+	t, ok := f.redeemHere(handle)
+	claim := f.claim.Load()
+	if ok || claim == nil {
+		return t, ok
+	}
+	if t = (*claim)(handle); t != nil {
+		f.Take([]Ticket{*t})
+	}
+	return f.redeemHere(handle) // where the other process has just ended, it came with all of its tickets
+}
+
+func (f *Front) redeemHere(handle string) (*Ticket, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	t := f.tickets[handle]
-	if t == nil || t.expires <= f.loop.Now() {
+	if t == nil || t.Expires <= f.loop.Now() {
 		return nil, false
 	}
-	if t.once {
+	if t.Once {
 		f.drop(t)
 	}
-	return t, true
+	return &t.Ticket, true
 }
 
 // DoGetStatement runs the query of a ticket and streams its rows.
@@ -282,12 +387,12 @@
 		f.Counters.BadTickets.Add(1)
 		return nil, nil, status.Error(codes.NotFound, "the ticket is unknown, expired or spent")
 	}
-	r := t.request
+	r := t.Request
 	now := f.loop.Now()
 	left, bound := untilDeadline(ctx)
 	switch {
-	case t.end > 0 && (!bound || t.end < now+left):
-		r.Budget = max(t.end-now, 0)
+	case t.End > 0 && (!bound || t.End < now+left):
+		r.Budget = max(t.End-now, 0)
 	case bound:
 		r.Budget = left
 	default:
--- a/internal/flightsql/front_test.go
+++ b/internal/flightsql/front_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"log/slog"
+	"net"
 	"os"
 	"path/filepath"
 	"strings"
@@ -86,7 +87,11 @@
 	}
 	core.Engines(brain.EngineList{Mode: brain.ListSaved, Engines: []brain.Engine{{ID: 7, Kind: "k", Size: 1}}},
 		map[brain.EngineID]string{7: "127.0.0.1:1"})
-	f, err := Listen(Config{Listen: "127.0.0.1:0", MaxConnections: 8}, core, loop, 5, slog.New(slog.DiscardHandler))
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := Listen(Config{MaxConnections: 8}, lis, core, loop, 5, 0, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -447,7 +452,7 @@
 	f, _, _ := newFront(t)
 	f.loop = router.NewLoop(now) // never run: only its clock is read here
 	add := func(size int) bool {
-		return f.keep(&ticket{request: router.Request{Statement: strings.Repeat("x", size)}, expires: now.MS + ticketLife})
+		return f.keep(&ticket{Ticket: Ticket{Request: router.Request{Statement: strings.Repeat("x", size)}, Expires: now.MS + ticketLife}})
 	}
 	for i := range maxTickets {
 		if !add(1) {
@@ -457,7 +462,7 @@
 	if add(1) {
 		t.Error("a ticket over the bound was kept")
 	}
-	handle := f.order.Front().Value.(*ticket).handle
+	handle := f.order.Front().Value.(*ticket).Handle
 	now.MS += ticketLife
 	if _, ok := f.redeem(handle); ok {
 		t.Error("an expired ticket was redeemed")
@@ -469,11 +474,11 @@
 	now.MS += ticketLife
 	add(1)
 	for range 10 {
-		load := &ticket{request: router.Request{Statement: "x"}, expires: now.MS + ticketLife, once: true}
+		load := &ticket{Ticket: Ticket{Request: router.Request{Statement: "x"}, Expires: now.MS + ticketLife, Once: true}}
 		if !f.keep(load) {
 			t.Fatal("no room")
 		}
-		if _, ok := f.redeem(load.handle); !ok {
+		if _, ok := f.redeem(load.Handle); !ok {
 			t.Error("a ticket was not redeemed")
 		}
 	}
--- a/internal/mysql/session.go
+++ b/internal/mysql/session.go
@@ -28,6 +28,8 @@
 	idleFor      = 10_000.0
 	greetFor     = 50.0 // a login takes a round trip or two
 	sweepEvery   = 250.0
+	// leaveEvery is how often a front that leaves looks for sessions that are done.
+	leaveEvery = 20.0
 )
 
 // Front hands the requests of its sessions to the core.
@@ -38,9 +40,14 @@
 	status   func() [][2]string
 	cfg      Config
 	sessions map[uint32]*session
+	base     uint32 // the ids' upper bits; see SetGeneration
 	next     uint32
+	leaving  bool
 	buffered int // bytes in the buffers of all sessions
-	Counters Counters
+	// Elsewhere, where it is set, passes a KILL on to the other process of this router, and tells whether there is one
+	// that may have the session.
+	Elsewhere func(id uint32, query bool) bool
+	Counters  Counters
 }
 
 // Config bounds the front.
@@ -64,6 +71,53 @@
 // Configure has the front go by other bounds from now on; sessions that are open stay.
 func (f *Front) Configure(cfg Config) { f.cfg = cfg }
 
+// idBits are the bits of a session's id that count; those above name the process; see SetGeneration.
+const idBits = 28
+
+// SetGeneration gives the ids of sessions from now on their upper bits: two processes of one router, of different
+// generations, never give the same id.
+func (f *Front) SetGeneration(g uint8) { f.base = uint32(g%16) << idBits }
+
+// Sessions is the number of those that are open.
+func (f *Front) Sessions() int { return len(f.sessions) }
+
+// Leave has the front end its sessions: at once those that have asked before and are idle, others with the answer that
+// they wait for. Those that have not asked yet are heard out. Another process takes the next request of these clients.
+func (f *Front) Leave() {
+	if f.leaving {
+		return
+	}
+	f.leaving = true
+	f.leave()
+}
+
+func (f *Front) leave() {
+	for _, s := range f.sessions {
+		if s.idle() && s.asked {
+			s.close()
+		}
+	}
+	f.loop.After(leaveEvery, f.leave)
+}
+
+// Kill ends the open query of a session, or the session, and tells whether there is one of that id.
+func (f *Front) Kill(id uint32, query bool) bool {
+	s := f.sessions[id]
+	if s == nil {
+		return false
+	}
+	if s.busy {
+		f.core.Abandon(s.handle)
+		s.busy = false
+		s.fail(errInterrupted, "query execution was interrupted")
+		s.advance()
+	}
+	if !query {
+		s.close()
+	}
+	return true
+}
+
 // sweep ends the sessions whose time is up.
 func (f *Front) sweep() {
 	now := f.loop.Now()
@@ -144,8 +198,8 @@
 func (s *session) Opened(c netio.Conn) {
 	f := s.front
 	s.conn = c
-	f.next++
-	s.id = f.next
+	f.next = (f.next + 1) % (1 << idBits)
+	s.id = f.base | f.next
 	f.Counters.Sessions++
 	s.opened = f.loop.Now()
 	s.since = s.opened
@@ -192,6 +246,9 @@
 	}
 }
 
+// idle tells whether nothing is open and nothing has begun to come.
+func (s *session) idle() bool { return s.loggedIn && !s.busy && len(s.buf) == 0 }
+
 // expire ends the session if the client has let its time go by.
 func (s *session) expire(now float64) {
 	text := ""
@@ -386,20 +443,12 @@
 		return
 	}
 	s.front.Counters.Kills++
-	other := s.front.sessions[uint32(id)]
-	if other == nil {
+	query := strings.EqualFold(words[1], "QUERY")
+	f := s.front
+	if !f.Kill(uint32(id), query) && (uint32(id)>>idBits == f.base>>idBits || f.Elsewhere == nil || !f.Elsewhere(uint32(id), query)) {
 		s.fail(errNoSuchThread, fmt.Sprintf("unknown thread id: %d", id))
 		return
 	}
-	if other.busy {
-		s.front.core.Abandon(other.handle)
-		other.busy = false
-		other.fail(errInterrupted, "query execution was interrupted")
-		other.advance()
-	}
-	if !strings.EqualFold(words[1], "QUERY") {
-		other.close()
-	}
 	s.ok()
 }
 
@@ -434,8 +483,11 @@
 	wasBusy := s.busy
 	s.busy, s.since = false, s.front.loop.Now()
 	_ = s.conn.Write(b)
-	if wasBusy && len(s.buf) > 0 {
+	switch {
+	case wasBusy && len(s.buf) > 0:
 		s.front.loop.Post(s.advance)
+	case wasBusy && s.front.leaving:
+		s.close()
 	}
 }
 
--- a/internal/mysql/session_test.go
+++ b/internal/mysql/session_test.go
@@ -4,6 +4,7 @@
 	"encoding/hex"
 	"fmt"
 	"log/slog"
+	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -47,9 +48,10 @@
 	}
 	return nil
 }
-func (w *wire) Close()           { w.closed = true }
-func (w *wire) Linger()          { w.closed = true }
-func (w *wire) Flushed(f func()) { f() }
+func (w *wire) Close()                  { w.closed = true }
+func (w *wire) Linger()                 { w.closed = true }
+func (w *wire) Flushed(f func())        { f() }
+func (w *wire) Detach(f func(*os.File)) { f(nil) }
 
 // stage plays an exchange: sessions by name on one front, on a clock that the exchange sets.
 type stage struct {
@@ -60,6 +62,8 @@
 	front    *Front
 	handlers map[string]netio.Handler
 	wires    map[string]*wire
+	// elsewhere is what went to the other process
+	elsewhere strings.Builder
 }
 
 func newStage(t *testing.T) *stage {
@@ -97,6 +101,8 @@
 //	engine served TEXT     the oldest attempt ends with rows; \t and \n as usual
 //	engine OUTCOME         the oldest attempt ends so
 //	wait MS                time passes
+//	leave                  the front ends its sessions
+//	generation N           it is that of the Nth process; kills go to another one
 func (s *stage) play(line string) string {
 	word := strings.SplitN(line, " ", 4)
 	text := func(i int) string {
@@ -118,6 +124,14 @@
 		for end := s.clock.MS + ms; s.clock.MS < end; s.clock.MS++ {
 			s.run()
 		}
+	case word[0] == "leave":
+		s.front.Leave()
+	case word[0] == "generation":
+		s.front.SetGeneration(word[1][0] - '0')
+		s.front.Elsewhere = func(id uint32, query bool) bool {
+			fmt.Fprintf(&s.elsewhere, "  elsewhere: kill %#x, query %v\n", id, query)
+			return true
+		}
 	case word[0] == "engine":
 		if len(s.engine.done) == 0 {
 			s.t.Fatalf("%s: no attempt is out", line)
@@ -190,6 +204,8 @@
 			delete(s.wires, name)
 		}
 	}
+	b.WriteString(s.elsewhere.String())
+	s.elsewhere.Reset()
 	for _, c := range s.engine.calls {
 		fmt.Fprintf(&b, "  > %s %s within %.0f priority %d: %s\n", c.Class, c.ID, c.WaitMS, c.Priority, c.Statement)
 	}
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -13,6 +13,7 @@
 	"strings"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -32,6 +33,9 @@
 	// Linger closes once the peer has had time to read what was written: until then, what it still sends is read
 	// and dropped. Data is not heard any more.
 	Linger()
+	// Detach gives the connection up without closing it: f hears its descriptor, which it must close, once all that was
+	// read has been handed over, and nothing after. Where that can't be, f hears nil and the connection is as it was.
+	Detach(f func(*os.File))
 	// Flushed has f run in the loop once all that was written has left for the peer, which may be at once. It is
 	// never run if the connection ends before.
 	Flushed(f func())
@@ -90,6 +94,28 @@
 	listeners  []*Listener
 }
 
+// Adopt takes a connection over that another process opened; it closes f. h hears Opened, and Data of what was not read
+// before.
+func (n *Net) Adopt(f *os.File, h Handler) error {
+	std, err := net.FileConn(f)
+	_ = f.Close()
+	if err != nil {
+		return err
+	}
+	c, err := nbio.NBConn(std)
+	if err != nil {
+		return errors.Join(err, std.Close())
+	}
+	s := &socket{net: n, c: c, h: h}
+	c.SetSession(s)
+	h.Opened(s) // it is up; what is read is posted, and so comes later
+	if _, err := n.engine.AddConn(c); err != nil {
+		s.Close()
+		return err
+	}
+	return nil
+}
+
 // New starts a poller. Where listen is not empty, accept gives each new connection's handler.
 func New(loop *router.Loop, listen string, accept func() Handler, log *slog.Logger) (*Net, error) {
 	pollerLog.Store(log)
@@ -188,6 +214,18 @@
 // Addr is where it listens.
 func (l *Listener) Addr() string { return l.lis.Addr().String() }
 
+// File gives a copy of the listener's descriptor.
+func (l *Listener) File() (*os.File, error) {
+	tcp, ok := l.lis.(*net.TCPListener)
+	if !ok {
+		return nil, errors.New("no TCP listener")
+	}
+	return tcp.File()
+}
+
+// Again accepts on another listener in place of this one, for the same handlers.
+func (l *Listener) Again(lis net.Listener) *Listener { return l.net.Serve(lis, l.accept) }
+
 // Close stops accepting; the loop hears of all that was accepted before. The socket itself is closed, never shut down:
 // another process may accept from the same queue.
 func (l *Listener) Close() {
@@ -365,6 +403,7 @@
 
 	unflushed atomic.Bool // somebody waits for the write queue to run empty
 	flushed   []func()
+	detached  func() // runs in place of the handler's Closed
 }
 
 func (s *socket) up(c *nbio.Conn) {
@@ -397,11 +436,36 @@
 		delete(s.net.dropping, s.c)
 		s.net.mu.Unlock()
 	}
+	if s.detached != nil {
+		s.detached()
+		return
+	}
 	if s.h != nil {
 		s.h.Closed(err)
 	}
 }
 
+// Detach implements Conn. The poller closes its descriptor, which leaves the connection to the copy.
+func (s *socket) Detach(f func(*os.File)) {
+	if s.closed || s.lingers || s.c == nil || queued(s.c) > 0 {
+		f(nil)
+		return
+	}
+	s.c.Lock() // so that the poller does not close the descriptor meanwhile
+	fd, err := -1, net.ErrClosed
+	if closed, _ := s.c.IsClosed(); !closed {
+		fd, err = syscall.Dup(s.c.Hash())
+	}
+	s.c.Unlock()
+	if err != nil {
+		f(nil)
+		return
+	}
+	syscall.CloseOnExec(fd)
+	s.detached = func() { f(os.NewFile(uintptr(fd), "connection")) }
+	_ = s.c.Close() // the loop hears of that behind all that was read
+}
+
 func (s *socket) Write(b []byte) error {
 	if s.c == nil || s.closed {
 		return net.ErrClosed
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -155,8 +155,12 @@
 	actions  []brain.Action
 	spent    spent
 	seq      uint64
-	Counters Counters
-	ByClass  map[string]*ClassCounters // each class of the settings, from the start
+	// Ids, where it is set, hears of ids as they come to be open or spent, or cease to be.
+	Ids       func(IDChange)
+	closeAt   float64         // when the process ends; 0 while that is not known
+	elsewhere map[string]bool // ids that are open in another process of this router; see Elsewhere
+	Counters  Counters
+	ByClass   map[string]*ClassCounters // each class of the settings, from the start
 }
 
 // New returns a core for the settings that the module was told.
@@ -167,7 +171,7 @@
 	}
 	c := &Core{loop: loop, module: module, client: client, log: log, engines: map[brain.EngineID]Engine{},
 		requests: map[brain.RequestID]*request{}, byID: map[string]*request{}, spent: spent{at: map[string]int{}},
-		ByClass: map[string]*ClassCounters{}}
+		ByClass: map[string]*ClassCounters{}, elsewhere: map[string]bool{}}
 	c.use(cfg)
 	loop.Settle = c.settle
 	return c, nil
@@ -235,7 +239,7 @@
 // Submit takes a request in. An error says that it was malformed and is owed nothing.
 func (c *Core) Submit(q *Request, asker Asker) (Handle, error) {
 	err := c.Check(q)
-	if err == nil && (c.byID[q.ID] != nil || c.spent.has(q.ID)) {
+	if err == nil && (c.byID[q.ID] != nil || c.elsewhere[q.ID] || c.spent.has(q.ID)) {
 		err = ErrInUse
 	}
 	if err != nil {
@@ -247,19 +251,28 @@
 	c.Counters.Taken++
 	r := &request{Request: q, key: brain.RequestID(strconv.FormatUint(c.seq, 10)), asker: asker,
 		end: q.Sent + q.Budget - answerMargin, priority: 1}
+	if c.closeAt > 0 {
+		r.end = min(r.end, c.closeAt)
+	}
 	c.requests[r.key], c.byID[r.ID] = r, r
+	c.changed(r.ID, IDOpen)
 	c.Counters.MaxOpen = max(c.Counters.MaxOpen, int64(len(c.byID)))
 	left := r.end - c.loop.Now()
 	if left <= 0 {
 		c.Counters.Late++
 	}
-	r.guard = c.loop.At(max(r.end, c.loop.Now())+guardAfter, func() { c.overdue(r) })
+	c.guard(r)
 	c.events = append(c.events, brain.Arrival{Request: r.key, Class: class.Name, Tenant: q.Tenant, Group: q.Group,
 		Estimate: clock.Duration(q.EstimateMS), NeedMB: q.NeedMB, TimeLeft: clock.Duration(max(left, 0)),
 		Resent: q.Again})
 	return Handle{r}, nil
 }
 
+func (c *Core) guard(r *request) {
+	r.guard.Stop()
+	r.guard = c.loop.At(max(r.end, c.loop.Now())+guardAfter, func() { c.overdue(r) })
+}
+
 // Abandon says that the client left: no answer is owed any more.
 func (c *Core) Abandon(h Handle) {
 	r := h.r
@@ -276,6 +289,7 @@
 	r.asker = nil
 	r.guard.Stop()
 	delete(c.byID, r.ID)
+	c.changed(r.ID, IDDone)
 	if r.out == 0 {
 		delete(c.requests, r.key)
 	}
@@ -455,6 +469,7 @@
 	class, _ := c.Class(r.Class)
 	if class.Semantics == brain.AtMostOnce {
 		c.spent.add(r.ID)
+		c.changed(r.ID, IDSpent)
 	}
 	a.call = c.client.Start(Call{Engine: engine, ID: r.ID, Class: r.Class, Statement: r.Statement, WaitMS: wait,
 		GrantMB: r.grant, Priority: r.priority, Update: r.Update, Once: class.Semantics != brain.Idempotent,
@@ -476,6 +491,9 @@
 	r.out--
 	c.Counters.Ends[e.Outcome]++
 	if proven := e.Outcome == brain.Full || e.Outcome == brain.ConnectFailed; proven {
+		if c.spent.has(r.ID) {
+			c.changed(r.ID, IDUnspent)
+		}
 		c.spent.remove(r.ID) // no earlier attempt may have run: the module would not have sent this one
 	}
 	if e.Outcome != brain.Served {
--- a/internal/router/core_test.go
+++ b/internal/router/core_test.go
@@ -465,3 +465,50 @@
 		t.Errorf("after the word back: %v, %d calls", told, len(b.engines.calls))
 	}
 }
+
+// Before the process ends, what is open is answered, with room for the answer to leave before the kill.
+func TestClosingAnswersBeforeTheEnd(t *testing.T) {
+	b := newBed(t)
+	a, _ := b.ask("load", 20_000, 0)
+	b.loop.Post(func() { b.core.Closing(b.now.MS + 500) })
+	c, _ := b.ask("lookup", 20_000, 0)
+	b.wait(520)
+	if len(a.answers) != 1 || len(c.answers) != 1 || b.core.Open() != 0 || b.core.Counters.Overdue != 0 {
+		t.Errorf("answers %v and %v, %d overdue", a.answers, c.answers, b.core.Counters.Overdue)
+	}
+}
+
+// Two processes of one router know each other's ids: what is open, or may have run, in one is not taken in the other.
+func TestIDsOfTheOtherProcess(t *testing.T) {
+	one, two := newBed(t), newBed(t)
+	pass := func(n IDChange) { two.loop.Post(func() { two.core.Elsewhere(n) }) }
+	one.ask("load", 20_000, 0) // id 1
+	one.loop.Post(func() {
+		s := one.core.State()
+		one.core.Ids = pass
+		two.loop.Post(func() { two.core.TakeOver(s) })
+	})
+	one.run()
+	one.ask("lookup", 20_000, 0) // id 2
+	refused := func(id int) (no bool) {
+		two.loop.Post(func() {
+			_, err := two.core.Submit(&Request{ID: fmt.Sprintf("%016x", id), Class: "lookup", Statement: "S",
+				Sent: two.now.MS, Budget: 3000}, &asker{})
+			no = err == ErrInUse
+		})
+		two.run()
+		return no
+	}
+	if !refused(1) || !refused(2) || refused(3) {
+		t.Error("an id that is open in the other process was taken, or a new one was not")
+	}
+	one.end(1, End{Outcome: brain.Served, Result: &Result{}})
+	one.end(0, End{Outcome: brain.Reset})
+	if refused(2) || !refused(1) {
+		t.Error("an id that is free again was not taken, or that of a load that may have run was")
+	}
+	two.loop.Post(two.core.Alone)
+	if !refused(1) {
+		t.Error("a load that may have run was forgotten with the other process")
+	}
+}
