--- a/cmd/windflow/upgrade.go
+++ b/cmd/windflow/upgrade.go
@@ -600,8 +600,11 @@
 	if r.bgp != nil {
 		r.bgp.Adopt(r.net, bgp.Handed{}, nil) // connects, if it waited for the old process's session
 	}
-	if r.older && !r.dismissed {
+	switch {
+	case r.older && !r.dismissed:
 		r.resume()
+	case r.leaving:
+		r.end()
 	}
 }
 
@@ -654,34 +657,44 @@
 	if r.link != nil {
 		r.sendUse(r.link) // the sessions that were closed just now come to the successor at once
 	}
+	r.busyAt = r.loop.Now()
 	r.log.Info("leaving", "sessions", r.front.Sessions(), "open", r.core.Open())
 	r.left()
 }
 
-// left ends the program once nothing is left to hear out.
+// left ends the program once nothing has been left to hear out for a while.
 func (r *node) left() {
-	if !r.successor {
-		r.busyAt = r.loop.Now()
+	now := r.loop.Now()
+	switch {
+	case !r.successor:
+		r.busyAt = now
 		r.drained() // the successor ended; this is a plain end now
 		return
-	}
-	if r.core.Open() > 0 || r.front.Sessions() > 0 || r.flight != nil && r.flight.Active() > 0 {
-		r.loop.After(10, r.left)
-		return
-	}
-	if link := r.link; link != nil {
-		r.dismissed = true // the link's end is this process's own doing
-		if r.flight != nil {
-			link.Send(handover.New(msgTickets, r.flight.ReleaseAll()))
+	case r.core.Open() > 0 || r.front.Sessions() > 0 || r.flight != nil && r.flight.Active() > 0:
+		r.busyAt = now
+	case now-r.busyAt >= lastWords:
+		if link := r.link; link != nil {
+			r.dismissed = true // the link's end is this process's own doing
+			if r.flight != nil {
+				link.Send(handover.New(msgTickets, r.flight.ReleaseAll()))
+			}
+			link.Close() // once all is written; alone hears of it
 		}
-		link.Close() // once all is written
+		r.loop.After(farewellWithin, r.end)
+		return
 	}
-	// Answers that were written last are still on their way out of the poller's queues.
-	r.loop.After(lastWords, func() { r.stopping.Do(func() { close(r.stop) }) })
+	r.loop.After(10, r.left)
 }
 
-// lastWords is how long the process stays after its last answer, in milliseconds.
-const lastWords = 50.0
+func (r *node) end() { r.stopping.Do(func() { close(r.stop) }) }
+
+const (
+	// lastWords is how long nothing may have been open, in milliseconds: connections that were accepted last are still on
+	// their way to the loop, and answers on theirs out of the poller's queues.
+	lastWords = 50.0
+	// farewellWithin bounds the wait for the successor to take the last message.
+	farewellWithin = 300.0
+)
 
 // adopt takes the old process's BGP session over.
 func (r *node) adopt(m handover.Message) {
--- a/internal/bgp/speaker_test.go
+++ b/internal/bgp/speaker_test.go
@@ -57,6 +57,7 @@
 func (p *peer) Linger()                 { p.closed = true }
 func (p *peer) Flushed(f func())        { f() }
 func (p *peer) Detach(f func(*os.File)) { f(nil) }
+func (p *peer) Unread() bool            { return false }
 
 func (p *peer) wait(ms float64) {
 	for end := p.now.MS + ms; p.now.MS < end; p.now.MS += 100 {
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -113,6 +113,7 @@
 func (e *end) Linger()                 {}
 func (e *end) Flushed(f func())        { f() }
 func (e *end) Detach(f func(*os.File)) { f(nil) }
+func (e *end) Unread() bool            { return false }
 
 // A bad frame, a gap or silence ends the link, keeps the list, and the next link goes on from the last good
 // event.
--- a/internal/control/door_test.go
+++ b/internal/control/door_test.go
@@ -56,6 +56,7 @@
 func (w *wire) Linger()                 { w.Close() }
 func (w *wire) Flushed(f func())        { f() }
 func (w *wire) Detach(f func(*os.File)) { f(nil) }
+func (w *wire) Unread() bool            { return false }
 
 // Calls, good and bad, whole and in pieces, each get one answer; callers that stay silent shut nobody out. A line is
 // played: NAME opens a caller and NAME TEXT has it send; 'wait MS' lets time go by; 'down WHY' and 'up' say whether the
--- a/internal/fetch/fetch_test.go
+++ b/internal/fetch/fetch_test.go
@@ -58,6 +58,7 @@
 func (l *link) Linger()                 { l.Close() }
 func (l *link) Flushed(f func())        { f() }
 func (l *link) Detach(f func(*os.File)) { f(nil) }
+func (l *link) Unread() bool            { return false }
 
 func (l *link) Close() {
 	if !l.closed {
--- a/internal/mysql/session.go
+++ b/internal/mysql/session.go
@@ -93,7 +93,7 @@
 
 func (f *Front) leave() {
 	for _, s := range f.sessions {
-		if s.idle() && s.asked {
+		if s.idle() && s.asked && !s.conn.Unread() {
 			s.close()
 		}
 	}
@@ -486,7 +486,7 @@
 	switch {
 	case wasBusy && len(s.buf) > 0:
 		s.front.loop.Post(s.advance)
-	case wasBusy && s.front.leaving:
+	case wasBusy && s.front.leaving && !s.conn.Unread():
 		s.close()
 	}
 }
--- a/internal/mysql/session_test.go
+++ b/internal/mysql/session_test.go
@@ -40,6 +40,7 @@
 type wire struct {
 	written []byte
 	closed  bool
+	unread  bool // its client has sent what is still on its way to the session
 }
 
 func (w *wire) Write(b []byte) error {
@@ -52,6 +53,7 @@
 func (w *wire) Linger()                 { w.closed = true }
 func (w *wire) Flushed(f func())        { f() }
 func (w *wire) Detach(f func(*os.File)) { f(nil) }
+func (w *wire) Unread() bool            { return w.unread }
 
 // stage plays an exchange: sessions by name on one front, on a clock that the exchange sets.
 type stage struct {
@@ -97,6 +99,7 @@
 //	NAME open|leave        a connection comes up, or its client closes it
 //	NAME login             the login of a well-behaved client
 //	NAME send SEQ TEXT     a packet; \xNN is a byte
+//	NAME unread yes        something of the client's is on its way to the session; without yes, no more
 //	NAME raw HEX           bytes without a header
 //	engine served TEXT     the oldest attempt ends with rows; \t and \n as usual
 //	engine OUTCOME         the oldest attempt ends so
@@ -153,6 +156,8 @@
 		h, w := s.front.Accept(), &wire{}
 		s.handlers[word[0]], s.wires[word[0]] = h, w
 		s.loop.Post(func() { h.Opened(w) })
+	case word[1] == "unread":
+		s.wires[word[0]].unread = len(word) > 2
 	case word[1] == "leave":
 		s.loop.Post(func() { s.handlers[word[0]].Closed(nil) })
 	default:
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -18,6 +18,7 @@
 
 	"github.com/lesismal/nbio"
 	"github.com/lesismal/nbio/logging"
+	"golang.org/x/sys/unix"
 
 	"windflow/internal/clock"
 	"windflow/internal/router"
@@ -33,6 +34,8 @@
 	// Linger closes once the peer has had time to read what was written: until then, what it still sends is read
 	// and dropped. Data is not heard any more.
 	Linger()
+	// Unread tells whether the peer has sent what the handler has not heard yet.
+	Unread() bool
 	// Detach gives the connection up without closing it: f hears its descriptor, which it must close, once all that was
 	// read has been handed over, and nothing after. Where that can't be, f hears nil and the connection is as it was.
 	Detach(f func(*os.File))
@@ -141,8 +144,10 @@
 			return
 		}
 		at, data := loop.Now(), append([]byte(nil), b...)
+		s.posted.Add(1)
 		n.admit(len(data))
 		loop.Post(func() {
+			s.posted.Add(-1)
 			n.release(len(data))
 			if s.h != nil && !s.closed && !s.lingers {
 				s.h.Data(data, at)
@@ -401,7 +406,8 @@
 	lingers bool
 	ending  *router.Timer // of a Linger
 
-	unflushed atomic.Bool // somebody waits for the write queue to run empty
+	posted    atomic.Int32 // reads that the loop has not handled
+	unflushed atomic.Bool  // somebody waits for the write queue to run empty
 	flushed   []func()
 	detached  func() // runs in place of the handler's Closed
 }
@@ -474,6 +480,22 @@
 	return err
 }
 
+// Unread implements Conn.
+func (s *socket) Unread() bool {
+	if s.closed || s.c == nil {
+		return false
+	}
+	s.c.Lock() // so that the poller does not close the descriptor meanwhile
+	defer s.c.Unlock()
+	if closed, _ := s.c.IsClosed(); closed {
+		return false
+	}
+	waiting, err := unix.IoctlGetInt(s.c.Hash(), unix.TIOCINQ)
+	// In this order: the poller counts what it has read after it has read it. Between the two it is in neither figure,
+	// for less than a microsecond.
+	return err == nil && waiting > 0 || s.posted.Load() > 0
+}
+
 // Flushed implements Conn.
 func (s *socket) Flushed(f func()) {
 	s.flushed = append(s.flushed, f)
--- a/internal/netio/netio_test.go
+++ b/internal/netio/netio_test.go
@@ -287,3 +287,47 @@
 		t.Errorf("heard %q", got)
 	}
 }
+
+// holder is a handler that keeps its connection.
+type holder struct {
+	*tap
+	conn Conn
+}
+
+func (h *holder) Opened(c Conn) { h.conn = c }
+
+// Unread sees what the peer has sent and the handler has not heard. It guards against closing a session under a request
+// that has just come.
+func TestUnread(t *testing.T) {
+	loop := router.NewLoop(&clock.Manual{MS: 1}) // stepped by hand, so that what is read waits
+	h := &holder{tap: newTap()}
+	n, err := New(loop, "127.0.0.1:0", func() Handler { return h }, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer n.Stop()
+	peer, err := net.Dial("tcp", n.Addr())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	for h.conn == nil {
+		loop.Step()
+		runtime.Gosched()
+	}
+	if h.conn.Unread() {
+		t.Error("nothing was sent, and something is unread")
+	}
+	if _, err := peer.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	for !h.conn.Unread() {
+		runtime.Gosched()
+	}
+	for len(h.data) == 0 {
+		loop.Step()
+	}
+	if h.conn.Unread() {
+		t.Error("all was heard, and something is unread")
+	}
+}
