--- a/internal/fetch/fetch.go
+++ b/internal/fetch/fetch.go
@@ -23,6 +23,9 @@
 	// answerWithin is how long an engine may be silent on a call once that is written, in milliseconds: it answers a
 	// question within 250 ms, if only with 'not yet over', and keeps a query for 2 s after the last question.
 	answerWithin = 320.0
+	// overWithin is how long an engine may be silent on the first question after a POST that it left without an answer: of
+	// a query that is over it tells at once.
+	overWithin = 100.0
 	// silentFor is how long an engine may leave all questions about a query unanswered before the attempt counts as
 	// lost; silentForOnce is the same for what must not run twice: nobody else can do that in its place, so that
 	// the engine is asked for as long as it may still know the query.
@@ -109,12 +112,13 @@
 	engine  router.Engine
 	about   *query // the query that it is about
 	text    []byte
-	fresh   bool // it needs a new connection
-	later   bool // it may wait behind the others
-	begins  bool // it starts the statement
-	once    bool // its last byte is held back; see holdBack
-	begun   bool // some of it was written
-	written bool // all of it was
+	fresh   bool    // it needs a new connection
+	later   bool    // it may wait behind the others
+	within  float64 // how long its answer may take; answerWithin where 0
+	begins  bool    // it starts the statement
+	once    bool    // its last byte is held back; see holdBack
+	begun   bool    // some of it was written
+	written bool    // all of it was
 	done    bool
 	conn    *conn
 	timer   *router.Timer // from when it was written
@@ -143,7 +147,11 @@
 			k.conn.c.Flushed(k.about.call.Wrote)
 		}
 	}
-	k.timer = c.loop.After(answerWithin, func() {
+	within := answerWithin
+	if k.within > 0 {
+		within = k.within
+	}
+	k.timer = c.loop.After(within, func() {
 		c.Counters.Silent++
 		k.abort(errSilent)
 	})
@@ -183,6 +191,7 @@
 	failed  int     // questions since then that brought none
 	bad     int     // spoilt answers among them
 	cut     bool    // the connection of the POST broke before any answer to it
+	mute    bool    // the POST was left without an answer, on an open connection
 	pages   [][]byte
 	parts   int
 	work    float64 // what the engine says that it took
@@ -262,6 +271,7 @@
 		// It may have begun. Whether it did is asked; the statement is not sent again.
 		var bad *badAnswer
 		q.cut = !errors.As(err, &bad)
+		q.mute = errors.Is(err, errSilent)
 		q.broken(err)
 	}
 }
@@ -270,6 +280,8 @@
 func (q *query) news(r *response) {
 	notBegun := r.header["not-begun"] == "1"
 	switch {
+	case r.status == 202 && q.mute && !q.call.Once:
+		q.end(brain.Reset, "not over after a POST without an answer")
 	case r.status == 202:
 		q.heard()
 		q.ask(0)
@@ -296,7 +308,7 @@
 
 // heard notes an answer that can be read.
 func (q *query) heard() {
-	q.last, q.failed, q.bad, q.cut = q.c.loop.Now(), 0, 0, false
+	q.last, q.failed, q.bad, q.cut, q.mute = q.c.loop.Now(), 0, 0, false, false
 }
 
 // ask asks for the news of the query, or for a page of its result.
@@ -307,7 +319,11 @@
 		q.c.Counters.Polls++
 	}
 	// After a failure a new connection asks: others that are kept may have met with the same.
-	q.current = q.c.do(&call{engine: q.call.Engine, about: q, fresh: q.failed > 0, later: page == 0 && q.failed == 0,
+	within := 0.0
+	if q.mute && page == 0 && !q.call.Once {
+		within = overWithin
+	}
+	q.current = q.c.do(&call{engine: q.call.Engine, about: q, fresh: q.failed > 0, later: page == 0 && q.failed == 0, within: within,
 		text: fmt.Appendf(nil, "GET /fetch/%s/%d HTTP/1.1\r\nHost: %s\r\n\r\n", q.call.ID, page, q.call.Engine.Addr),
 		then: func(r *response, err error) { q.told(page, r, err) }})
 }
@@ -351,6 +367,12 @@
 	q.c.log.Debug("no usable answer from an engine", "engine", q.call.Engine.Addr, "rid", q.call.ID, "why", err,
 		"in_a_row", q.failed)
 	switch {
+	case q.mute && q.failed > 1 && errors.Is(err, errSilent) && !q.call.Once:
+		// An engine answers a POST within 250 ms, if only with 'not yet over'. One that did not, and then does not tell
+		// of an end at once either, may never: what may be repeated is given up there, so that it runs elsewhere while
+		// its client still waits. A query that is over is told of at once, so that one whose answer was cut off is saved.
+		q.end(brain.Reset, "silent after a POST without an answer")
+		return
 	case errors.As(err, &bad):
 		q.c.Counters.BadAnswers++
 		if q.bad++; q.bad >= maxBad {
