--- a/brain/brain.go
+++ b/brain/brain.go
@@ -16,9 +16,10 @@
 	ratioCap = 7.0
 	// threadsPerCore is the bound on running threads a core: cores and disks overlap up to about there, and
 	// preferred queries run beside it. In a jam it goes down to jamThreads: preferred queries then take
-	// jamFrom to jamFull times the least that they were seen to take.
-	threadsPerCore, jamThreads = 1.4, 1.0
-	jamFrom, jamFull           = 1.5, 3.0
+	// jamFrom to jamFull times the least that they were seen to take. Each counts jamMost times that at most:
+	// the few that stood still for a load would pass for a jam.
+	threadsPerCore, jamThreads = 1.6, 1.1
+	jamFrom, jamFull, jamMost  = 1.25, 2.0, 4.0
 	// calmAt is the reported share of cores, disks and memory in use below which an engine counts as calm.
 	calmAt = 0.8
 	// calmRoom is how far the bound gives way on a calm engine; reports lag, so it never opens wholly.
@@ -202,7 +203,8 @@
 	if ev.Estimate > 0 {
 		r.est, r.estimated = ev.Estimate.Seconds(), true
 		if cl.seen == 0 {
-			cl.estMean, cl.mean, cl.best, cl.seen = min(r.est, cl.Aim.Seconds()*float64(cl.Threads)), 1, 1, 1
+			cl.estMean = min(r.est, cl.Aim.Seconds()*float64(cl.Threads))
+			cl.mean, cl.pace, cl.best, cl.seen = 1, 1, 1, 1
 		}
 		cl.estMean += meanGain * (min(r.est, estMost*cl.estMean) - cl.estMean)
 	}
@@ -462,6 +464,7 @@
 	}
 	r.c.mean, r.c.seenAt = c.meanNow(r.c), c.now
 	r.c.mean += gain * (min(x, 20*r.c.mean) - r.c.mean)
+	r.c.pace += gain * (min(x, jamMost*r.c.best) - r.c.pace)
 	if r.c.seen < 30 || r.c.mean < r.c.best {
 		r.c.best = r.c.mean
 	}
@@ -597,7 +600,8 @@
 
 // bound is the threads a core that this gateway may run on average.
 func (c *Controller) bound() float64 {
-	jam := (c.meanNow(c.prefer)/c.prefer.best - jamFrom) / (jamFull - jamFrom)
+	p := c.prefer
+	jam := (1 + (p.pace/p.best-1)*c.fade(p.seenAt, evidenceLife) - jamFrom) / (jamFull - jamFrom)
 	return (threadsPerCore - (threadsPerCore-jamThreads)*min(max(jam, 0), 1)) * c.share()
 }
 
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -736,15 +736,15 @@
 	quick, big := w.c.prefer, w.c.classes[1]
 	for _, k := range []struct{ times, want float64 }{{1, threadsPerCore}, {jamFrom, threadsPerCore},
 		{(jamFrom + jamFull) / 2, (threadsPerCore + jamThreads) / 2}, {jamFull, jamThreads}, {50, jamThreads}} {
-		quick.best, quick.mean, quick.seenAt = 1, k.times, w.now
+		quick.best, quick.pace, quick.seenAt = 1, k.times, w.now
 		if got := w.c.bound(); math.Abs(got-k.want) > 1e-9 {
 			t.Errorf("at %v times the least: %v threads a core, want %v", k.times, got, k.want)
 		}
 	}
-	quick.mean = 1
+	quick.pace = 1
 	w.c.nearby()
 	e, r := w.c.engines[0], &request{c: big, est: 1, end: w.now + time.Second}
-	e.threads, w.c.threads = 4, 4
+	e.threads, w.c.threads = 5, 5
 	for slow, want := range map[float64]bool{1: true, 1.5: true, 3: false, 100: false} {
 		e.slow, e.slowAt = slow, w.now
 		if got := w.c.room(e, r); got != want {
@@ -752,3 +752,34 @@
 		}
 	}
 }
+
+// A few preferred queries that stood still for a load are no jam: each counts a bounded time. It guards against a bound
+// that goes down, and holds reports back until they expire, while the engines have room.
+func TestWaitsForLoadsAreNoJam(t *testing.T) {
+	for _, k := range []struct {
+		every int // one in so many queries takes a hundred times as long as the others, which take slow times the least
+		slow  time.Duration
+		jam   bool
+	}{{25, 1, false}, {1000, 3, true}} {
+		w := newWorld(t, twoClasses())
+		w.list(ListFull, engines(4)...)
+		play := func(n int, slow time.Duration, every int) {
+			for i := range n {
+				tr := w.ask("quick", "")
+				took := 10 * ms * slow
+				if every > 0 && i%every == 0 {
+					took = 1000 * ms
+				}
+				w.now += took
+				for hop := range tr.engines {
+					w.endHop(tr, hop, Served, nil)
+				}
+			}
+		}
+		play(100, 1, 0)
+		play(200, k.slow, k.every)
+		if got := w.c.bound() < threadsPerCore-0.1; got != k.jam {
+			t.Errorf("one in %d long, others %d times the least: bound %v", k.every, k.slow, w.c.bound())
+		}
+	}
+}
--- a/brain/handover.go
+++ b/brain/handover.go
@@ -31,9 +31,9 @@
 
 // ClassSnapshot is what a controller has learned of a class.
 type ClassSnapshot struct {
-	Name                           string
-	Mean, Best, EstMean, Fix, Seen float64
-	SeenAt                         time.Duration
+	Name                                 string
+	Mean, Pace, Best, EstMean, Fix, Seen float64
+	SeenAt                               time.Duration
 }
 
 // EngineUse is what a controller has running on an engine, and what it sent there within the window for cold ones.
@@ -69,7 +69,7 @@
 			Slow: e.slow, Fail: e.fail, SlowAt: e.slowAt, FailAt: e.failAt, Lost: e.lost, Owed: e.owed})
 	}
 	for _, k := range c.classes {
-		s.Classes = append(s.Classes, ClassSnapshot{Name: k.Name, Mean: k.mean, Best: k.best, EstMean: k.estMean,
+		s.Classes = append(s.Classes, ClassSnapshot{Name: k.Name, Mean: k.mean, Pace: k.pace, Best: k.best, EstMean: k.estMean,
 			Fix: k.grantFix, Seen: k.seen, SeenAt: k.seenAt})
 	}
 	return s
@@ -101,8 +101,8 @@
 	}
 	for _, old := range s.Classes {
 		for _, k := range c.classes {
-			if k.Name == old.Name && old.Seen > 0 && old.Mean > 0 && old.Best > 0 && old.EstMean > 0 && old.Fix > 0 {
-				k.mean, k.best, k.estMean, k.grantFix = old.Mean, old.Best, old.EstMean, old.Fix
+			if k.Name == old.Name && old.Seen > 0 && old.Mean > 0 && old.Pace > 0 && old.Best > 0 && old.EstMean > 0 && old.Fix > 0 {
+				k.mean, k.pace, k.best, k.estMean, k.grantFix = old.Mean, old.Pace, old.Best, old.EstMean, old.Fix
 				k.seen, k.seenAt = old.Seen, old.SeenAt
 			}
 		}
--- a/brain/state.go
+++ b/brain/state.go
@@ -18,6 +18,7 @@
 	queue    []*request
 	late     []*request // over share, or past its aim: released when no queue has a query
 	mean     float64    // mean of time x threads, over the estimate where there is one
+	pace     float64    // mean of the same, each bounded: how crowded the fleet is
 	best     float64    // least mean seen: a calm fleet
 	estMean  float64    // mean estimate, 1 without
 	grantFix float64    // memory needed over the estimate
@@ -149,7 +150,7 @@
 	for _, k := range cfg.Classes {
 		k.Threads = max(k.Threads, 1)
 		cl := &class{Class: k, estMean: 1, grantFix: 1, mean: firstGuess(k)}
-		cl.best = cl.mean
+		cl.best, cl.pace = cl.mean, cl.mean
 		c.classes = append(c.classes, cl)
 	}
 	c.derive()
