--- a/brain/api.go
+++ b/brain/api.go
@@ -93,6 +93,7 @@
 
 	OverShareWorth float64
 	MaxAttempts    int // per request; 0 means no cap
+	MaxHeld        int // requests held before those that can't meet their aim are given up; 0 means no cap
 	Cancel         bool
 	SecondCopies   bool
 	RetryAfter     bool
--- a/brain/brain.go
+++ b/brain/brain.go
@@ -15,9 +15,8 @@
 	// ratioCap is the paper's Rmax; its field experiment used 7:1.
 	ratioCap = 7.0
 	// threadsPerCore is the bound on running threads a core: cores and disks overlap up to about there, and
-	// preferred queries run beside it. In a jam it goes down to jamThreads: preferred queries then take
-	// jamFrom to jamFull times the least that they were seen to take. Each counts jamMost times that at most:
-	// the few that stood still for a load would pass for a jam.
+	// preferred queries run beside it. In a jam it goes down to jamThreads: preferred ones then take jamFrom
+	// to jamFull times their least. Each counts jamMost times that at most: a few stood still for a load.
 	threadsPerCore, jamThreads = 1.6, 1.1
 	jamFrom, jamFull, jamMost  = 1.25, 2.0, 4.0
 	// calmAt is the reported share of cores, disks and memory in use below which an engine counts as calm.
@@ -33,7 +32,7 @@
 	// evidenceLife is the time in which evidence on an engine fades by 1/e when nothing renews it.
 	evidenceLife = 5 * time.Second
 	// fullRest is how long an engine that turned a query away gets none: sessions end about that often. An
-	// ejected one rests twice as long: in overload it alone has room, and would draw all that is held.
+	// ejected one rests twice as long: in overload it alone has room, and would draw all held.
 	fullRest = 250 * time.Millisecond
 	// failGain is the weight of an answer, or of an attempt that fell silent, in an engine's failing share;
 	// two of the latter in a row eject.
@@ -231,7 +230,7 @@
 		}
 	}
 	c.hold(r, false)
-	if c.now+c.margin() >= r.end {
+	if c.now+c.margin() >= r.end || r.aside && c.held > c.mostHeld {
 		c.giveUp(r)
 	}
 	c.release()
@@ -567,7 +566,8 @@
 		}
 	}
 	switch {
-	case r.held && (c.now+c.margin() >= r.end || c.hopeless(r) && r.c.LateWorth == 0 || !c.mayRepeat(r)):
+	case r.held && (c.now+c.margin() >= r.end || !c.mayRepeat(r) ||
+		c.hopeless(r) && (r.c.LateWorth == 0 || c.held > c.mostHeld)):
 		c.giveUp(r)
 	case r.held && c.hopeless(r) && !r.aside:
 		c.unhold(r)
--- a/brain/handover.go
+++ b/brain/handover.go
@@ -47,7 +47,10 @@
 type Takeover struct{ Snapshot Snapshot }
 
 // PeerUse says what the other controller has running; it counts as this one's own.
-type PeerUse struct{ Engines []EngineUse }
+type PeerUse struct {
+	Engines []EngineUse
+	Held    int
+}
 
 // Closing says that the controller's process ends at that time: no request has longer.
 type Closing struct{ At time.Duration }
@@ -120,10 +123,10 @@
 	c.due = c.now
 }
 
-// Use gives what the controller itself has on each engine.
-func (c *Controller) Use(now time.Duration) []EngineUse {
+// Use gives what the controller itself has on each engine, and holds.
+func (c *Controller) Use(now time.Duration) PeerUse {
 	c.now = max(c.now, now)
-	var list []EngineUse
+	use := PeerUse{Held: c.held}
 	for _, e := range c.engines {
 		u := EngineUse{ID: e.ID, Threads: e.threads - e.peer.Threads, Prefer: e.prefer - e.peer.Prefer,
 			Work: e.work - e.peer.Work, Granted: e.granted - e.peer.Granted}
@@ -133,16 +136,18 @@
 			}
 		}
 		if u != (EngineUse{ID: e.ID}) {
-			list = append(list, u)
+			use.Engines = append(use.Engines, u)
 		}
 	}
-	return list
+	return use
 }
 
 // peerUse takes over what the other controller has running in place of what it had.
-func (c *Controller) peerUse(list []EngineUse) {
+func (c *Controller) peerUse(ev PeerUse) {
+	c.peerHeld = max(ev.Held, 0)
+	c.derive()
 	now := map[EngineID]EngineUse{}
-	for _, u := range list {
+	for _, u := range ev.Engines {
 		now[u.ID] = EngineUse{ID: u.ID, Threads: max(u.Threads, 0), Prefer: max(u.Prefer, 0), Work: max(u.Work, 0),
 			Granted: max(u.Granted, 0), Cold: max(u.Cold, 0)}
 	}
--- a/brain/handover_test.go
+++ b/brain/handover_test.go
@@ -66,7 +66,7 @@
 	if tr := w.ask("big", ""); len(tr.engines) != 0 {
 		t.Error("a query was sent to an engine that the other process has filled")
 	}
-	if list := w.c.Use(w.now); len(list) != 0 {
+	if list := w.c.Use(w.now).Engines; len(list) != 0 {
 		t.Errorf("the other process's work is told as own: %+v", list)
 	}
 	w.handle(PeerUse{Engines: []EngineUse{{ID: 1, Cold: 1e6}}})
@@ -80,7 +80,7 @@
 		}
 		w.tick(10 * ms)
 	}
-	if list := w.c.Use(w.now); len(list) == 0 {
+	if list := w.c.Use(w.now).Engines; len(list) == 0 {
 		t.Error("own work is not told")
 	}
 	w.handle(PeerUse{})
--- a/brain/rules_test.go
+++ b/brain/rules_test.go
@@ -395,3 +395,27 @@
 		t.Errorf("%d ids are remembered, at most %d should be; 1 is excluded: %v", n, maxIDs, w.c.Excluded(1))
 	}
 }
+
+// No more are held than may be, of those that can't meet their aim any more: the client hears at once. It guards against
+// held queries that take the clients' connections from those that could still be served. Both processes of an upgrade
+// count.
+func TestHeldAreBounded(t *testing.T) {
+	cfg := twoClasses()
+	cfg.MaxHeld = 10
+	for _, k := range []struct{ peer, want int }{{0, 10}, {4, 6}, {40, 0}} {
+		w := newWorld(t, cfg)
+		w.list(ListFull, engines(2)...)
+		w.handle(PeerUse{Held: k.peer})
+		for range 60 {
+			w.askFor(Arrival{Class: "big", Estimate: 20 * time.Second, TimeLeft: 15 * time.Second})
+		}
+		w.tick(5 * time.Second)
+		answered := 0
+		for _, tr := range w.order {
+			answered += tr.answers
+		}
+		if w.c.held != k.want || answered != 60-k.want-len(w.sends) {
+			t.Errorf("%d held and %d answered with %d sent; %d are held elsewhere", w.c.held, answered, len(w.sends), k.peer)
+		}
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -126,7 +126,8 @@
 	threads, granted       float64   // own, over all engines
 	failed                 []*engine // those that were ejected of late
 	breakAll               float64   // share of attempts that break, over all engines
-	held                   int
+	held, mostHeld         int
+	peerHeld               int           // by the other controller of this gateway, in an upgrade
 	wakeAt, due            time.Duration // when the timer is set for; when something is due
 	credit                 int           // releases left to the class side that ratio release chose
 	creditTo               bool
@@ -159,6 +160,9 @@
 
 // derive sets what follows from the settings.
 func (c *Controller) derive() {
+	if c.mostHeld = math.MaxInt; c.cfg.MaxHeld > 0 {
+		c.mostHeld = max(c.cfg.MaxHeld-c.peerHeld, 0)
+	}
 	c.prefer = c.classes[0]
 	for _, cl := range c.classes {
 		if cl.Aim < c.prefer.Aim {
@@ -258,7 +262,7 @@
 	case Closing:
 		c.closing(ev.At)
 	case PeerUse:
-		c.peerUse(ev.Engines)
+		c.peerUse(ev)
 	case Abort:
 		if r := c.requests[ev.Request]; r != nil {
 			c.finish(r)
--- a/cmd/windflow/main.go
+++ b/cmd/windflow/main.go
@@ -14,6 +14,7 @@
 	"sync"
 	"syscall"
 
+	"windflow/brain"
 	"windflow/internal/bgp"
 	"windflow/internal/board"
 	"windflow/internal/clock"
@@ -32,6 +33,8 @@
 	memoryShare = 0.7
 	// sessionShare is the share of the descriptors that client sessions may hold; clients use up to a third.
 	sessionShare = 0.4
+	// heldShare is the number of requests against the descriptors that may be held at once; see decisionsOf.
+	heldShare = 1.0 / 12
 	// reserved descriptors are for the listener, the board, the log, the poller, and connections that stand
 	// twice for a moment while they pass from the system's dialer to the poller.
 	reserved = 64
@@ -142,7 +145,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("field known: %w", err)
 	}
-	decisions, err := cfg.Parsed.Config(cfg.SeedValue)
+	decisions, err := decisionsOf(cfg, cfg.SeedValue)
 	if err != nil {
 		return nil, fmt.Errorf("field settings: %w", err)
 	}
@@ -262,6 +265,14 @@
 	return b, nil
 }
 
+// decisionsOf gives what the module is told. Clients hold at most a third of the descriptors: were most of that taken by
+// queries that are held with little hope, new ones could not even be asked.
+func decisionsOf(cfg *settings.Node, seed uint64) (brain.Config, error) {
+	d, err := cfg.Parsed.Config(seed)
+	d.MaxHeld = int(heldShare * float64(cfg.Limits.Sockets))
+	return d, err
+}
+
 func namesOf(cfg *settings.Node) board.Names {
 	return board.Names{Zones: cfg.Parsed.Zones, Kinds: cfg.Parsed.Kinds}
 }
@@ -327,7 +338,7 @@
 // configure puts another configuration in force, whole or, where it can't be used, not at all. Open requests,
 // sessions and connections are not touched. What can't change while running keeps its value, and the log names it.
 func (r *node) configure(cfg *settings.Node, e extra) error {
-	decisions, err := cfg.Parsed.Config(r.cfg.SeedValue)
+	decisions, err := decisionsOf(cfg, r.cfg.SeedValue)
 	if err != nil {
 		return fmt.Errorf("field settings: %w", err)
 	}
--- a/cmd/windflow/upgrade.go
+++ b/cmd/windflow/upgrade.go
@@ -86,10 +86,10 @@
 		Took []string `json:"took"` // the listeners that the new process accepts on
 	}
 	use struct {
-		Engines  []brain.EngineUse `json:"engines"`
-		Sessions int               `json:"sessions"`
-		Conns    int               `json:"conns"`
-		Leaving  bool              `json:"leaving"`
+		Module   brain.PeerUse `json:"module"`
+		Sessions int           `json:"sessions"`
+		Conns    int           `json:"conns"`
+		Leaving  bool          `json:"leaving"`
 	}
 	ban struct {
 		N       int            `json:"n"`
@@ -396,7 +396,7 @@
 }
 
 func (r *node) sendUse(link *handover.Link) {
-	link.Send(handover.New(msgUse, use{Engines: r.core.Use(), Sessions: r.front.Sessions(), Conns: r.client.Conns(),
+	link.Send(handover.New(msgUse, use{Module: r.core.Use(), Sessions: r.front.Sessions(), Conns: r.client.Conns(),
 		Leaving: r.leaving}))
 }
 
@@ -455,7 +455,7 @@
 		var u use
 		if err = m.Read(&u); err == nil {
 			r.peer = u
-			r.core.PeerUse(u.Engines)
+			r.core.PeerUse(u.Module)
 			r.rebound()
 		}
 	case msgBan:
--- a/internal/router/handover.go
+++ b/internal/router/handover.go
@@ -91,17 +91,15 @@
 }
 
 // Use gives what this process has running on each engine.
-func (c *Core) Use() []brain.EngineUse { return c.module.Use(clock.Duration(c.loop.Now())) }
+func (c *Core) Use() brain.PeerUse { return c.module.Use(clock.Duration(c.loop.Now())) }
 
 // PeerUse takes in what the other process has running there.
-func (c *Core) PeerUse(list []brain.EngineUse) {
-	c.events = append(c.events, brain.PeerUse{Engines: list})
-}
+func (c *Core) PeerUse(use brain.PeerUse) { c.events = append(c.events, use) }
 
 // Alone says that the other process has ended: nothing runs there any more, and no id is open.
 func (c *Core) Alone() {
 	clear(c.elsewhere)
-	c.PeerUse(nil)
+	c.PeerUse(brain.PeerUse{})
 }
 
 // list gives the ids, the oldest first.
