--- a/brain/brain.go
+++ b/brain/brain.go
@@ -17,8 +17,8 @@
 	// threadsPerCore is the bound on running threads a core: cores and disks overlap up to about there, and
 	// preferred queries run beside it. In a jam it goes down to jamThreads: preferred ones then take jamFrom
 	// to jamFull times their least. Each counts jamMost times that at most: a few stood still for a load.
-	threadsPerCore, jamThreads = 1.6, 1.1
-	jamFrom, jamFull, jamMost  = 1.25, 2.0, 4.0
+	threadsPerCore, jamThreads = 2.0, 1.2
+	jamFrom, jamFull, jamMost  = 1.2, 2.2, 4.0
 	// calmAt is the reported share of cores, disks and memory in use below which an engine counts as calm.
 	calmAt = 0.8
 	// calmRoom is how far the bound gives way on a calm engine; reports lag, so it never opens wholly.
--- a/brain/brain_test.go
+++ b/brain/brain_test.go
@@ -744,7 +744,7 @@
 	quick.pace = 1
 	w.c.nearby()
 	e, r := w.c.engines[0], &request{c: big, est: 1, end: w.now + time.Second}
-	e.threads, w.c.threads = 5, 5
+	e.threads, w.c.threads = threadsPerCore*8/2, threadsPerCore*8/2 // half of the usual bound
 	for slow, want := range map[float64]bool{1: true, 1.5: true, 3: false, 100: false} {
 		e.slow, e.slowAt = slow, w.now
 		if got := w.c.room(e, r); got != want {
