Rank sessions by progress and age when room is made, and hold small descriptor limits

Seen by reading: evict() ended first who had not logged in for 50 ms, which true clients that take 2 s to write are too; boundsOf() took 1,024 for any limit of 128 and less. Now those that said nothing for 500 ms go first, then those that have asked and may be closed at any time, and those that have begun to write last, who stalled longest first.

--- a/cmd/windflow/main.go
+++ b/cmd/windflow/main.go
@@ -35,8 +35,8 @@
 	sessionShare = 0.4
 	// heldShare is the number of requests against the descriptors that may be held at once; see decisionsOf.
 	heldShare = 1.0 / 12
-	// reserved descriptors are for the listener, the board, the log, the poller, and connections that stand
-	// twice for a moment while they pass from the system's dialer to the poller.
+	// reserved descriptors are for the listeners, the board, the log, the poller, operators, and connections that stand
+	// twice for a moment while they pass from the system's dialer to the poller; a third of them all where they are few.
 	reserved = 64
 	// flightEngines are reserved for connections to engines that speak Flight SQL, where that is on: one shared
 	// one each, and up to flightLoads for what must not run twice.
@@ -247,16 +247,17 @@
 // boundsOf divides the descriptors; taken are those of parts that the configuration does not name.
 func boundsOf(cfg *settings.Node, taken int) (bounds, error) {
 	sockets := cfg.Limits.Sockets
-	if sockets <= reserved*2 {
+	if sockets == 0 {
 		sockets = 1024
 	}
+	kept := min(reserved, sockets/3)
 	memory := cfg.Limits.MemoryMB << 20
 	if memory == 0 {
 		memory = 192 << 20
 	}
 	b := bounds{inbound: min(max(memory/16, 256<<10), 4<<20)}
 	b.mysql = mysql.Config{MaxSessions: int(sessionShare * float64(sockets)), MaxBuffered: memory / 8}
-	b.fetch = fetch.Config{MaxConns: sockets - b.mysql.MaxSessions - reserved - taken,
+	b.fetch = fetch.Config{MaxConns: sockets - b.mysql.MaxSessions - kept - taken,
 		ConnectTimeoutMS: float64(cfg.Parsed.Limits.ConnectTimeout) / 1e6,
 		IdleMS:           float64(cfg.Parsed.Limits.ConnIdle) / 1e6}
 	if b.fetch.MaxConns < 16 {
--- a/cmd/windflow/upgrade.go
+++ b/cmd/windflow/upgrade.go
@@ -412,7 +412,7 @@
 func (r *node) part(b *bounds) {
 	b.inbound /= 2
 	b.mysql.MaxBuffered /= 2
-	b.mysql.MaxSessions = max(b.mysql.MaxSessions-r.peer.Sessions, b.mysql.MaxSessions/2)
+	b.mysql.MaxSessions = max(b.mysql.MaxSessions-r.peer.Sessions, b.mysql.MaxSessions/3)
 	half := max(b.fetch.MaxConns/2-spareConns, 16)
 	switch {
 	case r.leaving:
--- a/internal/mysql/session.go
+++ b/internal/mysql/session.go
@@ -26,7 +26,8 @@
 	askWithin    = 2200.0
 	packetWithin = 2000.0
 	idleFor      = 10_000.0
-	greetFor     = 50.0 // a login takes a round trip or two
+	greetFor     = 50.0
+	silentFor    = 500.0
 	sweepEvery   = 250.0
 	// leaveEvery is how often a front that leaves looks for sessions that are done.
 	leaveEvery = 20.0
@@ -127,37 +128,25 @@
 	f.loop.After(sweepEvery, f.sweep)
 }
 
-// evict ends the session that is missed least, to make room for a new one: of those that have had time to log in and
-// have not, the oldest; else of those with nothing open the one that was quiet longest; else the oldest that is about to
-// log in. It guards against connections that say nothing, or that were used once and kept, shutting everybody else out.
+// evict ends the session that is missed least, to make room for a new one. It guards against connections that say
+// nothing, or that were used once and kept, shutting everybody else out; and against ending those of clients that are
+// merely slow to write, which may take 2 s for a request.
 func (f *Front) evict() bool {
 	var least *session
+	leastRank := 0
 	now := f.loop.Now()
-	rank := func(s *session) int {
-		switch {
-		case s.loggedIn:
-			return 1
-		case now-s.opened >= greetFor:
-			return 0
-		}
-		return 2 // in a crowd there is hardly another kind that has not logged in
-	}
-	before := func(a, b *session) bool {
-		if x, y := rank(a), rank(b); x != y {
-			return x < y
-		}
-		return a.since < b.since || a.since == b.since && a.id < b.id
-	}
 	for _, s := range f.sessions {
-		if !s.busy && (!s.loggedIn || len(s.buf) == 0) && (least == nil || before(s, least)) {
-			least = s
+		rank, ok := s.missed(now)
+		if ok && (least == nil || rank < leastRank || rank == leastRank &&
+			(s.heard() < least.heard() || s.heard() == least.heard() && s.id < least.id)) {
+			least, leastRank = s, rank
 		}
 	}
 	if least == nil {
 		return false
 	}
 	f.Counters.Evicted++
-	f.log.Debug("session evicted", "session", least.id, "logged_in", least.loggedIn, "quiet_ms", f.loop.Now()-least.since)
+	f.log.Debug("session evicted", "session", least.id, "rank", leastRank, "quiet_ms", now-least.heard())
 	if !least.loggedIn {
 		least.fail(errTooManyConns, "too many connections")
 	}
@@ -165,6 +154,30 @@
 	return true
 }
 
+// missed ranks a session by what its client would miss, the least first; false says that it stays. Within a rank the one
+// that was quiet longest goes first.
+func (s *session) missed(now float64) (rank int, ok bool) {
+	quiet := now - s.heard()
+	switch {
+	case s.busy:
+		return 0, false
+	case s.at == 0 && quiet >= silentFor:
+		return 0, true // a login takes a round trip or two, and a slow client has begun by now
+	case s.loggedIn && len(s.buf) == 0 && s.asked:
+		return 1, true // such may be closed at any time
+	case s.loggedIn && len(s.buf) == 0:
+		return 2, true
+	case s.at == 0 && quiet >= greetFor:
+		return 3, true
+	case s.at > 0:
+		return 4, true // a packet has begun
+	}
+	return 5, true // in a crowd there is hardly another kind that has said nothing
+}
+
+// heard is when the client last sent something, or came.
+func (s *session) heard() float64 { return max(s.at, s.opened) }
+
 // Accept gives the handler of a new connection.
 func (f *Front) Accept() netio.Handler { return &session{front: f} }
 
