--- a/brain/rules_test.go
+++ b/brain/rules_test.go
@@ -419,3 +419,16 @@
 		}
 	}
 }
+
+// Avoided is what the module goes by: engines that fail count until so many do that all are used again.
+func TestAvoidedFollowsTheFloor(t *testing.T) {
+	w := newWorld(t, twoClasses())
+	w.list(ListFull, engines(4)...)
+	for i, want := range []int{1, 2, 0, 0} {
+		w.c.now = w.now
+		w.c.blame(w.c.engines[i], 1, 1)
+		if got := w.c.Avoided(w.now); got != want {
+			t.Errorf("%d engines fail: %d avoided, want %d", i+1, got, want)
+		}
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -423,9 +423,9 @@
 // fail or are down.
 func (c *Controller) Avoided(now time.Duration) int {
 	c.now = max(c.now, now)
-	n := 0
+	n, eject := 0, c.ejected() <= ejectMost*float64(len(c.live)) // else those that fail are used like others
 	for _, e := range c.engines {
-		if e.State != Gone && (!e.listed || e.lost >= downAfter || c.failing(e) >= ejectAt) {
+		if e.State != Gone && (!e.listed || e.lost >= downAfter || eject && c.failing(e) >= ejectAt) {
 			n++
 		}
 	}
--- a/cmd/windflow/main.go
+++ b/cmd/windflow/main.go
@@ -38,6 +38,8 @@
 	// reserved descriptors are for the listeners, the board, the log, the poller, operators, and connections that stand
 	// twice for a moment while they pass from the system's dialer to the poller; a third of them all where they are few.
 	reserved = 64
+	// starting descriptors are left for a successor, which needs them before the two have met; they count together.
+	starting = 40
 	// flightEngines are reserved for connections to engines that speak Flight SQL, where that is on: one shared
 	// one each, and up to flightLoads for what must not run twice.
 	flightEngines = 64
@@ -250,7 +252,7 @@
 	if sockets == 0 {
 		sockets = 1024
 	}
-	kept := min(reserved, sockets/3)
+	kept := min(reserved+starting, sockets/3)
 	memory := cfg.Limits.MemoryMB << 20
 	if memory == 0 {
 		memory = 192 << 20
--- a/cmd/windflow/upgrade.go
+++ b/cmd/windflow/upgrade.go
@@ -57,7 +57,7 @@
 const (
 	// stateWithin is how long the new process waits for the old one's state, and goAheadWithin for its go-ahead: a
 	// process that hangs must not keep another from taking its place.
-	stateWithin   = time.Second
+	stateWithin   = 2 * time.Second
 	goAheadWithin = 500.0
 	// useEvery is how often either process tells what it has running.
 	useEvery = 50.0
@@ -350,12 +350,18 @@
 		return
 	}
 	r.path = path
+	waiting := r.waiting
 	go func() {
 		for {
-			conn, err := r.waiting.AcceptUnix()
-			if err != nil {
+			conn, err := waiting.AcceptUnix()
+			if errors.Is(err, net.ErrClosed) {
 				return
 			}
+			if err != nil { // short of descriptors: a successor must find this process all the same
+				r.log.Warn("accept failed", "err", err)
+				time.Sleep(pause)
+				continue
+			}
 			var link *handover.Link
 			started := make(chan struct{})
 			link = handover.Start(conn, func(m handover.Message) {
