--- a/internal/flightsql/client_test.go
+++ b/internal/flightsql/client_test.go
@@ -245,3 +245,53 @@
 		t.Errorf("%d runs after the first, want 1", len(runs))
 	}
 }
+
+// An engine that is banned gets nothing more, however far a call has come that has not begun: both kinds of call end with
+// proof that nothing ran, at once. Those that have begun go on.
+func TestWithhold(t *testing.T) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	silent := make(chan net.Conn, 4) // connections that come up and never speak HTTP/2, so that no call begins
+	go func() {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			silent <- c
+		}
+	}()
+	loop := router.NewLoop(clock.NewSystem())
+	c := NewClient(loop, 1000, 4, slog.New(slog.DiscardHandler))
+	t.Cleanup(routertest.Run(loop))
+	ends := make(chan router.End, 4)
+	engine := router.Engine{ID: 7, Addr: lis.Addr().String()}
+	wrote := make(chan struct{}, 4)
+	loop.Post(func() {
+		for _, once := range []bool{false, true} {
+			c.Start(router.Call{Engine: engine, ID: "9b1f03aa5c7e2d41", Class: "x", Statement: "S", WaitMS: 60_000, Once: once,
+				Wrote: func() { wrote <- struct{}{} }}, func(e router.End) { ends <- e })
+		}
+	})
+	for range 2 {
+		defer (<-silent).Close()
+	}
+	loop.Post(func() { c.Withhold(router.Engine{ID: 8}) })
+	loop.Post(func() { c.Withhold(engine) })
+	for range 2 {
+		if e := <-ends; e.Outcome != brain.ConnectFailed {
+			t.Errorf("outcome %v: %s", e.Outcome, e.Detail)
+		}
+	}
+	if len(wrote) != 0 {
+		t.Error("a call that was taken back counts as written")
+	}
+	done := make(chan int)
+	loop.Post(func() { done <- len(c.out) })
+	if n := <-done; n != 0 {
+		t.Errorf("%d attempts are kept", n)
+	}
+}
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -111,6 +111,7 @@
 	}
 	s := &socket{net: n, c: c, h: h}
 	c.SetSession(s)
+	n.publish()
 	h.Opened(s) // it is up; what is read is posted, and so comes later
 	if _, err := n.engine.AddConn(c); err != nil {
 		s.Close()
@@ -278,6 +279,7 @@
 	}
 	_ = c.SetNoDelay(true)
 	c.SetSession(&socket{net: l.net, c: c, from: l})
+	l.net.publish()
 	if _, err = l.net.engine.AddConn(c); err != nil {
 		l.net.log.Warn("accept failed", "err", err) // nbio has closed it, and the loop hears of that
 	}
@@ -313,6 +315,14 @@
 	}
 }
 
+// publish lets the poller's goroutine see what was written about a connection before it is handed over: nbio passes it
+// through the system's poller, which Go's memory model knows nothing of. The other side of it is drop, which OnData calls
+// first.
+func (n *Net) publish() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+}
+
 // drop tells whether what came on a connection is dropped, and closes one that sends too much of that.
 func (n *Net) drop(c *nbio.Conn, size int) bool {
 	n.mu.Lock()
@@ -388,6 +398,7 @@
 		return nil, errors.Join(err, std.Close())
 	}
 	c.SetSession(s)
+	n.publish()
 	if _, err := n.engine.AddConn(c); err != nil {
 		return nil, err
 	}
