--- a/cmd/windflow/operators.go
+++ b/cmd/windflow/operators.go
@@ -4,37 +4,29 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net"
 	"slices"
 	"strings"
 
-	"windflow/brain"
-	"windflow/internal/board"
 	"windflow/internal/control"
+	"windflow/internal/decide/takeover"
 )
 
-// openDoor has operators heard where the configuration says, if it does.
-func (r *node) openDoor(old *predecessor) error {
-	if r.cfg.Control == "" {
-		return nil
-	}
-	lis, err := r.listener(old, listenDoor, "control", r.cfg.Control)
-	if err != nil {
-		return err
-	}
+// openDoor has operators heard on a listener.
+func (r *node) openDoor(lis net.Listener) {
 	r.door = control.Open(r.loop, r.net, lis, r, r.log)
 	r.log.Info("operators' door", "control", r.door.Addr())
-	return nil
 }
 
 // Ready implements control.Operators.
 func (r *node) Ready() error {
 	switch {
-	case r.draining:
-		return errors.New("draining")
-	case r.successor:
-		return errors.New("a successor accepts")
-	case !r.ready:
-		return errors.New("starting")
+	case r.machine.Phase() == takeover.Yielded || r.leaving:
+		return errors.New("another process of this router accepts")
+	case !r.machine.Ready():
+		return errors.New(r.machine.Phase().String())
+	case len(r.missing) > 0:
+		return errors.New("its address is held by a process that does not answer")
 	}
 	return nil
 }
@@ -65,20 +57,3 @@
 
 // Include implements control.Operators.
 func (r *node) Include(id string, answer func(bool)) { r.order(id, false, answer) }
-
-func (r *node) order(id string, exclude bool, answer func(bool)) {
-	n, err := board.ParseID(id)
-	if err != nil {
-		answer(false)
-		return
-	}
-	r.tellBan(n, exclude, r.ban(n, exclude), answer)
-}
-
-// ban carries out an operator's word in this process.
-func (r *node) ban(id brain.EngineID, exclude bool) bool {
-	if exclude {
-		return r.core.Exclude(id)
-	}
-	return r.core.Include(id)
-}
--- a/cmd/windflow/upgrade.go
+++ b/cmd/windflow/upgrade.go
@@ -2,34 +2,42 @@
 
 import (
 	"errors"
+	"fmt"
+	"maps"
 	"net"
 	"os"
+	"slices"
+	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"windflow/brain"
 	"windflow/internal/bgp"
+	"windflow/internal/board"
+	"windflow/internal/decide/takeover"
 	"windflow/internal/flightsql"
 	"windflow/internal/handover"
+	"windflow/internal/netio"
 	"windflow/internal/router"
+	"windflow/internal/settings"
 )
 
-// An upgrade is a second process of a router that is started while the first one serves. It goes like this:
+// An upgrade is a second process of a router that is started while the first one serves. Package takeover decides how it
+// goes; this file has the sockets, files and timers that its machine wants, and what the processes tell each other while
+// both live: bans, ids, kills, tickets, what either has running. In the plain case:
 //
-//	new: hello     it has found the old one's socket
-//	old: state     bans, warmth, ids, and the descriptors of listeners that both need
-//	new: ready     it accepts; the old one accepts no more, and lets go of the door where that is on the same address
-//	old: goAhead   only now does the new one say yes to an operator who asks whether it is ready
+//	new: hello     asked again until it is answered
+//	old: state     ids, warmth, and the descriptors of listeners that both need
+//	new: ready     it has all that it takes to accept
+//	old: go-ahead  it accepts no more; the new one accepts, and says yes to an operator who asks whether it is ready
 //
-// While both live, either tells the other of bans, ids, kills and what it has running. On SIGTERM the old one hears out
-// what it accepted, gives its tickets and its BGP session up, and ends. Should the new one end first, the old one goes
-// on as before.
+// On SIGTERM the old one hears out what it accepted, gives its tickets and its BGP session up, and ends. Should the new
+// one end first, the old one goes on as before.
 const (
-	msgHello   = "hello"
-	msgState   = "state"
-	msgReady   = "ready" // ready
-	msgGoAhead = "go-ahead"
 	msgID      = "id"      // router.IDChange
+	msgClaimID = "may"     // claimID; version 2
+	msgWord    = "word"    // claimID; version 2
 	msgUse     = "use"     // use
 	msgBan     = "ban"     // ban
 	msgBanned  = "banned"  // ban
@@ -38,9 +46,13 @@
 	msgClaimed = "claimed" // claim
 	msgTickets = "tickets" // []flightsql.Ticket
 	msgBGP     = "bgp"     // bgp.Handed
-	msgBye     = "bye"     // the process ends the link and goes on; a further one takes over from it
+	msgBye     = "bye"     // of version 1: the process ends the link and goes on; a further one takes over from it
 )
 
+// messages are those that the machine knows.
+var messages = map[string]takeover.Kind{"hello": takeover.Hello, "wait": takeover.Wait, "state": takeover.State,
+	"ready": takeover.Ready, "go-ahead": takeover.GoAhead, "back": takeover.Back}
+
 // The listeners that go with the state, and the parts of the old process that the new one waits for.
 const (
 	listenClients = "clients"
@@ -50,27 +62,42 @@
 )
 
 const (
-	// stateWithin is how long the new process waits for the old one's state, and goAheadWithin for its go-ahead: a
-	// process that hangs must not keep another from taking its place.
-	stateWithin   = 2 * time.Second
-	goAheadWithin = 500.0
-	// useEvery is how often either process tells what it has running.
-	useEvery = 50.0
+	// useEvery is how often either process tells what it has running; while the other one does not read, it is left out.
+	useEvery  = 50.0
+	useBehind = 8
 	// banWithin bounds the wait for the other process's word on a ban, in milliseconds; an operator is answered then.
 	banWithin = 300.0
+	// wordWithin bounds the wait for the other process's word on an id, in milliseconds.
+	wordWithin = 400.0
 	// claimWithin bounds the wait for a ticket of the other process.
 	claimWithin = time.Second
+	// bansEvery is how often the folder of bans is read. The rule on bans leaves a second.
+	bansEvery = 250 * time.Millisecond
+	// livesEvery is how often a process whose link has ended is looked at, in milliseconds.
+	livesEvery = 25.0
+	// bindEvery is how often an address is tried that a process which hangs has not given up, in milliseconds.
+	bindEvery = 250.0
 	// spareConns of either process's connections to engines are left out while there are two: its listeners, log, poller
 	// and link come twice too.
 	spareConns = 16
-	passedEnv  = "PROXY_PASSED_SOCKET"
+	// guardedSessions and guardedConns fit what every process leaves for a successor (starting), with what it takes to run.
+	guardedSessions = 12
+	guardedConns    = 12
+	passedEnv       = "PROXY_PASSED_SOCKET"
 )
 
 type (
 	hello struct {
-		PID int `json:"pid"`
+		PID     int           `json:"pid"`
+		Place   takeover.Peer `json:"place,omitempty"` // version 2
+		Version int           `json:"version,omitempty"`
+	}
+	wait struct {
+		Phase string `json:"phase"`
+		PID   int    `json:"pid"`
 	}
 	state struct {
+		Version    int               `json:"version,omitempty"`
 		Generation uint8             `json:"generation"`
 		Core       router.State      `json:"core"`
 		Listeners  []string          `json:"listeners"` // of the descriptors, in their order
@@ -78,7 +105,7 @@
 		Parts      []string          `json:"parts"`
 	}
 	ready struct {
-		Took []string `json:"took"` // the listeners that the new process accepts on
+		Took []string `json:"took"` // the listeners that the sender accepts on in the other's place
 	}
 	use struct {
 		Module   brain.PeerUse `json:"module"`
@@ -96,6 +123,11 @@
 		ID    uint32 `json:"id"`
 		Query bool   `json:"query"`
 	}
+	claimID struct {
+		N  int    `json:"n"`
+		ID string `json:"id"`
+		OK bool   `json:"ok"`
+	}
 	claim struct {
 		N      int64             `json:"n"`
 		Handle string            `json:"handle"`
@@ -103,22 +135,38 @@
 	}
 )
 
+// peer is a link to another process, and who that is.
+type peer struct {
+	link    *handover.Link
+	place   takeover.Peer // None until it has said hello
+	version int
+	bye     bool // it said goodbye and lives on
+}
+
 // upgrade is what a router keeps for being upgraded; it belongs to the loop's goroutine.
 type upgrade struct {
+	machine    takeover.Machine
+	tick       *router.Timer
+	place      *handover.Place // nil where none could be had
 	generation uint8
-	path       string              // where a successor finds this process; empty where none can
-	waiting    *net.UnixListener   // for it
-	link       *handover.Link      // to the other process; nil while there is none
-	older      bool                // that process is the newer one
-	successor  bool                // that process accepts in this one's place
-	dismissed  bool                // that process has said goodbye and goes on
-	leaving    bool                // this one hears out what it accepted, and ends
-	peer       use                 // what the other one has
-	held       map[string]*os.File // the listeners that this one has given up accepting on
-	goAhead    func()              // what the old process's go-ahead, or its end, lets happen
-	bans       map[int]func(bool)  // answers that wait for the other process, by number
-	banSeq     int
-	passed     *os.File // the clients' socket, where the platform holds it
+	links      map[takeover.Peer]*peer
+	with       *peer                     // the process that this one shares the router with
+	peer       use                       // what that one has
+	looking    bool                      // a look for an elder is under way
+	idle       map[string]net.Listener   // listeners that this process does not accept on
+	missing    []string                  // listeners whose address is not to be had yet
+	handed     state                     // what the elder gave
+	files      map[string]*os.File       // the listeners that came with it
+	took       []string                  // what is said with ready
+	theyTook   []string                  // what the other one said
+	leaving    bool                      // this one hears out what it accepted, and ends
+	closing    bool                      // requests have been told when this process ends
+	answers    map[int]func(bool)        // answers to operators that wait for the other process, by number
+	words      map[int]func(router.Word) // claims that do
+	seq        int                       // of both
+	out        map[brain.EngineID]bool   // bans by hand, as the folder has them
+	io         chan func()               // work with the folder, in order
+	passed     *os.File                  // the clients' socket, where the platform holds it
 
 	claims  sync.Mutex // over what follows: gRPC's goroutines claim tickets
 	claimN  int64
@@ -126,444 +174,834 @@
 	claimOn *handover.Link // where to ask
 }
 
-// takeOver goes on from the old process's state, if there is one, and has ready run once that accepts no more.
-func (r *node) takeOver(old *predecessor, accepting func()) {
-	r.bans = map[int]func(bool){}
-	r.held = map[string]*os.File{}
-	r.claimed = map[int64]chan *flightsql.Ticket{}
-	r.front.Elsewhere = r.kill
-	if old == nil {
-		accepting()
-		return
+// meeting is where the processes of a router find each other.
+func meeting(cfg *settings.Node) string { return cfg.Name + " " + cfg.Listen }
+
+// begin takes a place among the processes of this router, where it is to have one, and starts the machine; the caller
+// runs the loop.
+func (r *node) begin(placed bool) {
+	r.links, r.idle = map[takeover.Peer]*peer{}, map[string]net.Listener{}
+	r.answers, r.words = map[int]func(bool){}, map[int]func(router.Word){}
+	r.claimed, r.out = map[int64]chan *flightsql.Ticket{}, map[brain.EngineID]bool{}
+	r.io = make(chan func(), 64)
+	go r.work()
+	self := takeover.First
+	if placed {
+		var err error
+		if r.place, err = handover.TakePlace(os.TempDir(), meeting(r.cfg)); err != nil {
+			r.log.Warn("no upgrades", "err", err)
+		} else {
+			self = r.place.Peer
+			r.readBans()
+			go r.awaitSuccessors()
+		}
+	}
+	r.generation = uint8(self % 16)
+	var effects []takeover.Effect
+	r.machine, effects = takeover.New(self, r.loop.Now(), takeover.Defaults)
+	for _, e := range effects {
+		r.carryOut(e)
 	}
-	for _, f := range old.files {
-		_ = f.Close() // what is used of them was copied
+	if r.place == nil {
+		r.step(takeover.Event{Kind: takeover.Looked})
 	}
-	r.core.TakeOver(old.state.Core)
-	r.log.Info("taking over", "engines", len(old.state.Core.Module.Engines), "open", len(old.state.Core.Open),
-		"excluded", len(old.state.Core.Module.Excluded), "spent", len(old.state.Core.Spent))
-	link := r.link
-	old.attach(func(m handover.Message) { r.loop.Post(func() { r.hear(link, m) }) },
-		func() { r.loop.Post(func() { r.alone(link) }) })
-	r.goAhead = accepting
-	r.join(link)
-	link.Send(handover.New(msgReady, ready{Took: old.took}))
-	r.loop.After(goAheadWithin, r.proceed)
 }
 
-// proceed lets happen what waited for the old process.
-func (r *node) proceed() {
-	if f := r.goAhead; f != nil {
-		r.goAhead = nil
-		f()
+// work does what waits for files, so that the loop does not.
+func (r *node) work() {
+	beat := time.NewTicker(bansEvery)
+	defer beat.Stop()
+	for {
+		select {
+		case f := <-r.io:
+			f()
+		case <-beat.C:
+			if r.place != nil {
+				r.readBans()
+			}
+		case <-r.stop:
+			return
+		}
 	}
 }
 
-// awaitSuccessor has the next process of this router find this one.
-func (r *node) awaitSuccessor() {
-	path, err := meeting(r.cfg)
-	if err == nil {
-		r.waiting, err = handover.Listen(path)
+// step hands the machine an event and carries out what it wants.
+func (r *node) step(ev takeover.Event) {
+	before := r.machine.Phase()
+	for _, e := range r.machine.Step(r.loop.Now(), ev) {
+		r.carryOut(e)
 	}
-	if err != nil {
-		r.log.Warn("no upgrades", "err", err)
+	if now := r.machine.Phase(); now != before {
+		r.log.Info("takeover", "phase", now.String(), "was", before.String(), "place", uint64(r.machine.Self),
+			"elder", uint64(r.machine.Elder()), "newer", uint64(r.machine.Newer()))
+	}
+	r.tick.Stop()
+	if due := r.machine.Due(); due < 1e300 {
+		r.tick = r.loop.At(due, func() { r.step(takeover.Event{}) })
+	}
+	r.share()
+}
+
+func (r *node) carryOut(e takeover.Effect) {
+	if r.failed != nil {
+		return
+	}
+	switch e.Do {
+	case takeover.Look:
+		r.look()
+	case takeover.Send:
+		r.say(r.links[e.Peer], e.Message)
+	case takeover.TakeState:
+		r.takeState()
+	case takeover.Accept:
+		r.accept()
+	case takeover.Yield:
+		r.yield()
+	case takeover.Leave:
+		r.leave()
+	case takeover.Drain:
+		r.drain()
+	case takeover.End:
+		r.end()
+	case takeover.Bound:
+		if r.core != nil {
+			r.rebound()
+			r.limit()
+		}
+	}
+}
+
+// fail ends a process that can't serve.
+func (r *node) fail(err error) {
+	r.failed = err
+	r.halt()
+}
+
+// look finds the newest living process before this one, and links up with it.
+func (r *node) look() {
+	if r.place == nil || r.looking {
 		return
 	}
-	r.path = path
-	waiting := r.waiting
+	r.looking = true
+	linked := slices.Collect(maps.Keys(r.links))
 	go func() {
-		for {
-			conn, err := waiting.AcceptUnix()
-			if errors.Is(err, net.ErrClosed) {
-				return
+		found := r.place.Elder()
+		var conn *net.UnixConn
+		if found != takeover.None && !slices.Contains(linked, found) {
+			conn, _ = r.place.Call(found) // an elder that can't be reached is one that is silent
+		}
+		r.loop.Post(func() {
+			r.looking = false
+			if conn != nil {
+				p := &peer{place: found, version: takeover.Version}
+				r.links[found] = p
+				r.connect(p, conn)
 			}
-			if err != nil { // short of descriptors: a successor must find this process all the same
-				r.log.Warn("accept failed", "err", err)
-				time.Sleep(pause)
-				continue
+			if e := r.machine.Elder(); e != takeover.None && e != found && r.links[e] == nil && !r.place.Lives(e) {
+				r.gone(e) // it could not be linked up with, so that no link's end tells of its own
 			}
-			var link *handover.Link
-			started := make(chan struct{})
-			link = handover.Start(conn, func(m handover.Message) {
-				<-started
-				r.loop.Post(func() { r.hear(link, m) })
-			}, func(error) {
-				<-started
-				r.loop.Post(func() { r.alone(link) })
-			}, r.log)
-			close(started)
-		}
+			r.step(takeover.Event{Kind: takeover.Looked, Peer: found})
+		})
 	}()
 }
 
-// join begins the exchange with the other process.
-func (r *node) join(link *handover.Link) {
-	if old := r.link; old != nil && old != link {
-		old.Send(handover.New(msgBye, nil))
-		old.Close()
+// connect runs a link.
+func (r *node) connect(p *peer, conn *net.UnixConn) {
+	started := make(chan struct{})
+	p.link = handover.Start(conn, func(m handover.Message) {
+		<-started
+		r.loop.Post(func() { r.hear(p, m) })
+	}, func(err error) {
+		<-started
+		r.loop.Post(func() { r.ended(p, err) })
+	}, r.log)
+	close(started)
+}
+
+// awaitSuccessors has the next processes of this router find this one.
+func (r *node) awaitSuccessors() {
+	for {
+		conn, err := r.place.Listener.AcceptUnix()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // short of descriptors: a successor must find this process all the same
+			r.log.Warn("accept failed", "err", err)
+			time.Sleep(pause)
+			continue
+		}
+		r.loop.Post(func() { r.connect(&peer{}, conn) })
 	}
-	r.link, r.peer = link, use{}
-	r.claims.Lock()
-	r.claimOn = link
-	r.claims.Unlock()
-	r.core.Ids = func(n router.IDChange) { link.Send(handover.New(msgID, n)) }
-	r.rebound()
-	r.limit()
-	r.tellUse(link)
 }
 
-// tellUse tells the other process what this one has running, now and again.
-func (r *node) tellUse(link *handover.Link) {
-	if r.link != link {
+// ended goes on after a link that ended; what lives at its other end may not have.
+func (r *node) ended(p *peer, err error) {
+	if p.place == takeover.None || r.links[p.place] != p {
 		return
 	}
-	r.sendUse(link)
-	r.loop.After(useEvery, func() { r.tellUse(link) })
+	delete(r.links, p.place)
+	if r.with == p {
+		r.settleAnswers()
+	}
+	if p.bye || p.place != takeover.Stranger && r.place.Lives(p.place) {
+		r.log.Info("link ended", "place", uint64(p.place), "why", err)
+		r.step(takeover.Event{Kind: takeover.Cut, Peer: p.place})
+		if !p.bye {
+			r.watch(p.place)
+		}
+		return
+	}
+	r.gone(p.place)
 }
 
-func (r *node) sendUse(link *handover.Link) {
-	link.Send(handover.New(msgUse, use{Module: r.core.Use(), Sessions: r.front.Sessions(), Conns: r.client.Conns(),
-		Leaving: r.leaving}))
+// watch waits for the end of a process to which the link has ended.
+func (r *node) watch(who takeover.Peer) {
+	r.loop.After(livesEvery, func() {
+		switch {
+		case r.links[who] != nil:
+		case r.place.Lives(who):
+			r.watch(who)
+		default:
+			r.gone(who)
+		}
+	})
 }
 
-// rebound goes by the bounds of the configuration, or by this process's part of them.
-func (r *node) rebound() {
-	if b, err := r.bounds(r.cfg); err == nil {
-		r.apply(b)
+// gone goes on without a process that has ended.
+func (r *node) gone(who takeover.Peer) {
+	shared := who == r.machine.Elder() && r.machine.Phase() != takeover.Asking || who == r.machine.Newer()
+	r.step(takeover.Event{Kind: takeover.Gone, Peer: who})
+	if !shared || r.core == nil || r.failed != nil {
+		return
+	}
+	r.peer = use{}
+	r.core.Alone()
+	r.rebound()
+	r.limit()
+	r.log.Info("alone", "phase", r.machine.Phase().String())
+	if r.bgp != nil {
+		r.bgp.Adopt(r.net, bgp.Handed{}, nil) // connects, if it waited for the old process's session
 	}
 }
 
-// part takes the other process's part off the bounds. Sessions are divided as they stand: the old process accepts no
-// more, and what it closes comes to the new one. Connections to engines are halved, until the old one leaves.
-func (r *node) part(b *bounds) {
-	b.inbound /= 2
-	b.mysql.MaxBuffered /= 2
-	b.mysql.MaxSessions = max(b.mysql.MaxSessions-r.peer.Sessions, b.mysql.MaxSessions/3)
-	half := max(b.fetch.MaxConns/2-spareConns, 16)
-	switch {
-	case r.leaving:
-		b.fetch.MaxConns = max(min(r.client.Conns(), half), 16)
-	case r.peer.Leaving:
-		b.fetch.MaxConns = max(b.fetch.MaxConns-max(r.peer.Conns, 16)-2*spareConns, half)
-	default:
-		b.fetch.MaxConns = half
+// settleAnswers ends what waits for the other process's word.
+func (r *node) settleAnswers() {
+	for _, answer := range r.answers {
+		answer(false)
+	}
+	for _, word := range r.words {
+		word(router.Silent)
+	}
+	r.claims.Lock()
+	r.claimOn = nil
+	for _, ch := range r.claimed {
+		close(ch)
 	}
+	clear(r.claimed)
+	r.claims.Unlock()
 }
 
-// hear takes one message of the other process.
-func (r *node) hear(link *handover.Link, m handover.Message) {
-	if m.Kind == msgHello {
-		r.succeed(link)
+// share begins the exchange with the process that this one shares the router with, or ends it.
+func (r *node) share() {
+	var p *peer
+	if r.core != nil {
+		switch m := &r.machine; {
+		case m.Elder() != takeover.None && m.Phase() != takeover.Asking && m.Phase() != takeover.Guarded:
+			p = r.links[m.Elder()]
+		case m.Newer() != takeover.None:
+			p = r.links[m.Newer()]
+		}
+	}
+	if p == r.with {
 		return
 	}
-	if r.link != link {
-		for _, f := range m.Files {
-			_ = f.Close()
-		}
+	r.with = p
+	r.claims.Lock()
+	r.claimOn = nil
+	if p != nil {
+		r.claimOn = p.link
+	}
+	r.claims.Unlock()
+	if p != nil {
+		r.tellUse(p)
+	}
+}
+
+// tell sends the other process a message, if there is one.
+func (r *node) tell(kind string, body any) {
+	if r.with != nil {
+		r.with.link.Send(handover.New(kind, body))
+	}
+}
+
+// tellUse tells the other process what this one has running, now and again.
+func (r *node) tellUse(p *peer) {
+	if r.with != p {
 		return
 	}
-	var err error
-	switch m.Kind {
-	case msgReady:
-		var now ready
-		if err = m.Read(&now); err == nil {
-			r.giveWay(now.Took)
-			link.Send(handover.New(msgGoAhead, nil))
-		}
-	case msgGoAhead:
-		r.proceed()
-	case msgID:
-		var n router.IDChange
-		if err = m.Read(&n); err == nil {
-			r.core.Elsewhere(n)
-		}
-	case msgUse:
-		var u use
-		if err = m.Read(&u); err == nil {
-			r.peer = u
-			r.core.PeerUse(u.Module)
-			r.rebound()
+	if p.link.Pending() < useBehind {
+		r.sendUse()
+	}
+	r.loop.After(useEvery, func() { r.tellUse(p) })
+}
+
+func (r *node) sendUse() {
+	r.tell(msgUse, use{Module: r.core.Use(), Sessions: r.front.Sessions(), Conns: r.client.Conns(), Leaving: r.leaving})
+}
+
+// say sends a message of the machine's.
+func (r *node) say(p *peer, what takeover.Kind) {
+	if p == nil || p.version == 1 && (what == takeover.Wait || what == takeover.Back) {
+		return
+	}
+	var body any
+	var files []*os.File
+	switch what {
+	case takeover.Hello:
+		body = hello{PID: os.Getpid(), Place: r.machine.Self, Version: takeover.Version}
+	case takeover.Wait:
+		body = wait{Phase: r.machine.Phase().String(), PID: os.Getpid()}
+	case takeover.State:
+		body, files = r.state()
+	case takeover.Ready:
+		body = ready{Took: r.took}
+	}
+	p.link.Send(handover.New(what.String(), body, files...))
+	for _, f := range files {
+		_ = f.Close()
+	}
+}
+
+// state gives a newer process of this router what it needs to go on in this one's place.
+func (r *node) state() (state, []*os.File) {
+	s := state{Version: takeover.Version, Generation: r.generation, Core: r.core.State(), At: map[string]string{}}
+	var files []*os.File
+	for _, l := range []struct {
+		which, at string
+		on        bool
+	}{{listenClients, r.cfg.Listen, r.passed == nil}, {listenFlight, r.extra.flight.Listen, r.flight != nil},
+		{listenDoor, r.cfg.Control, r.door != nil}} {
+		if !l.on {
+			continue
 		}
-	case msgBan:
-		var b ban
-		if err = m.Read(&b); err == nil {
-			b.Known = r.ban(b.ID, b.Exclude)
-			link.Send(handover.New(msgBanned, b))
+		f, err := r.listenerFile(l.which)
+		if err != nil {
+			r.log.Warn("a listener can't be handed over", "listener", l.which, "err", err)
+			continue
 		}
-	case msgBanned:
-		var b ban
-		if err = m.Read(&b); err == nil {
-			if answer := r.bans[b.N]; answer != nil {
-				answer(b.Known)
-			}
+		files, s.Listeners, s.At[l.which] = append(files, f), append(s.Listeners, l.which), l.at
+	}
+	if r.bgp != nil {
+		s.Parts = append(s.Parts, partBGP)
+	}
+	r.log.Info("a successor has come", "open", r.core.Open())
+	return s, files
+}
+
+// takeState goes on from the elder's state.
+func (r *node) takeState() {
+	if r.core == nil {
+		if err := r.build(); err != nil {
+			r.fail(err)
+			return
 		}
-	case msgKill:
-		var k kill
-		if err = m.Read(&k); err == nil {
-			r.front.Kill(k.ID, k.Query)
+	} else {
+		r.openMissing() // with the elder's listeners
+		if r.bgp != nil && !slices.Contains(r.handed.Parts, partBGP) {
+			r.bgp.Adopt(r.net, bgp.Handed{}, nil)
 		}
-	case msgClaim:
-		var c claim
-		if err = m.Read(&c); err == nil {
-			if r.flight != nil {
-				c.Ticket = r.flight.Release(c.Handle)
-			}
-			link.Send(handover.New(msgClaimed, c))
-		}
-	case msgClaimed:
-		var c claim
-		if err = m.Read(&c); err == nil {
-			r.settleClaim(c)
+	}
+	r.core.TakeOver(r.handed.Core)
+	r.log.Info("taking over", "engines", len(r.handed.Core.Module.Engines), "open", len(r.handed.Core.Open),
+		"excluded", len(r.handed.Core.Module.Excluded), "spent", len(r.handed.Core.Spent))
+}
+
+// accept has clients come in, for the first time or again.
+func (r *node) accept() {
+	if r.core == nil {
+		if err := r.build(); err != nil {
+			r.fail(err)
+			return
 		}
-	case msgTickets:
-		var all []flightsql.Ticket
-		if err = m.Read(&all); err == nil && r.flight != nil {
-			r.flight.Take(all)
+	}
+	for which := range r.idle {
+		if !slices.Contains(r.took, which) {
+			r.took = append(r.took, which)
 		}
-	case msgBye:
-		r.dismissed = true
-	case msgBGP:
-		r.adopt(m)
-		return
 	}
-	for _, f := range m.Files {
-		_ = f.Close()
+	r.openIdle()
+	if r.place != nil {
+		if err := r.place.Publish(); err != nil {
+			r.log.Warn("a process of version 1 would not find this one", "err", err)
+		}
 	}
-	if err != nil {
-		r.log.Warn("a message of the other process can't be read", "kind", m.Kind, "err", err)
+	if len(r.missing) == 0 {
+		r.log.Info("ready", "listen", r.clientsAt, "engines", r.core.Listed(), "phase", r.machine.Phase().String())
+	} else {
+		r.log.Warn("addresses are held by a process that does not answer", "listeners", r.missing)
+		r.loop.After(bindEvery, r.bindAgain)
 	}
 }
 
-// succeed gives a new process of this router what it needs to go on in its place.
-func (r *node) succeed(link *handover.Link) {
-	if r.draining {
-		link.Close() // it starts as after a plain restart
+// bindAgain tries for the addresses that a process which hangs has not given up.
+func (r *node) bindAgain() {
+	if len(r.missing) == 0 || r.failed != nil {
 		return
 	}
-	s := state{Generation: r.generation, Core: r.core.State(), At: map[string]string{}}
-	var files []*os.File
-	add := func(which, at string, f *os.File, err error) {
-		if err == nil {
-			files, s.Listeners, s.At[which] = append(files, f), append(s.Listeners, which), at
-		}
+	if r.openMissing(); len(r.missing) > 0 {
+		r.loop.After(bindEvery, r.bindAgain)
+		return
 	}
-	if r.passed == nil && r.listening != nil {
-		f, err := r.listening.File()
-		add(listenClients, r.cfg.Listen, f, err)
+	r.log.Info("ready", "listen", r.clientsAt, "phase", r.machine.Phase().String())
+}
+
+func (r *node) openMissing() {
+	missing := r.missing
+	r.missing = nil
+	for _, which := range missing {
+		if err := r.provide(which); err != nil {
+			r.fail(err)
+			return
+		}
 	}
-	if r.flight != nil {
-		f, err := r.flight.File()
-		add(listenFlight, r.extra.flight.Listen, f, err)
+	if r.machine.Accepts() {
+		r.openIdle()
 	}
-	if r.door != nil {
-		f, err := r.door.File()
-		add(listenDoor, r.cfg.Control, f, err)
+}
+
+// openIdle accepts on all listeners that it has.
+func (r *node) openIdle() {
+	if lis := r.idle[listenClients]; lis != nil {
+		r.listening = r.net.Serve(lis, r.front.Accept)
 	}
-	if r.bgp != nil {
-		s.Parts = append(s.Parts, partBGP)
+	if lis := r.idle[listenFlight]; lis != nil {
+		r.flight.Accept(lis)
 	}
-	link.Send(handover.New(msgState, s, files...))
-	for _, f := range files {
-		_ = f.Close()
+	if lis := r.idle[listenDoor]; lis != nil {
+		r.door.Reopen(lis)
 	}
-	r.log.Info("a successor has come", "open", r.core.Open())
-	r.older = true
-	r.join(link)
+	clear(r.idle)
 }
 
-// giveWay stops accepting where the successor does. What it takes to accept again is kept, in case that ends first.
-func (r *node) giveWay(took []string) {
-	if r.successor {
-		return
+// listenerFile gives a copy of a listener's descriptor.
+func (r *node) listenerFile(which string) (*os.File, error) {
+	switch {
+	case r.idle[which] != nil:
+		return netio.Copy(r.idle[which])
+	case which == listenClients && r.listening != nil:
+		return r.listening.File()
+	case which == listenFlight && r.flight != nil:
+		return r.flight.File()
+	case which == listenDoor && r.door != nil:
+		return r.door.File()
 	}
-	r.successor = true
-	hold := func(which string, f *os.File, err error) {
+	return nil, errors.New("it does not listen")
+}
+
+// yield stops accepting where the other process does. What it takes to accept again is kept, in case that ends first.
+func (r *node) yield() {
+	for _, which := range r.theyTook {
+		if r.idle[which] != nil || which == listenFlight && r.flight == nil || which == listenDoor && r.door == nil {
+			continue
+		}
+		f, err := r.listenerFile(which)
+		if err == nil {
+			r.idle[which], err = netio.Inherit(f)
+			_ = f.Close()
+		}
 		if err != nil {
+			delete(r.idle, which)
 			r.log.Warn("a listener can't be kept", "listener", which, "err", err)
-			return
 		}
-		r.held[which] = f
-	}
-	for _, which := range took {
-		switch {
-		case which == listenClients && r.listening != nil:
-			f, err := r.listening.File()
-			hold(which, f, err)
+		switch which {
+		case listenClients:
 			r.listening.Close()
-		case which == listenFlight && r.flight != nil:
-			f, err := r.flight.Pause()
-			hold(which, f, err)
-		case which == listenDoor && r.door != nil:
-			f, err := r.door.File()
-			hold(which, f, err)
+		case listenFlight:
+			if f, err := r.flight.Pause(); err == nil {
+				_ = f.Close()
+			}
+		case listenDoor:
 			r.door.Close()
 		}
 	}
-	r.log.Info("the successor accepts", "listeners", took, "sessions", r.front.Sessions(), "open", r.core.Open())
+	r.log.Info("the other process accepts", "listeners", r.theyTook, "sessions", r.front.Sessions(), "open", r.core.Open())
 }
 
-// alone goes on without the other process, which has ended.
-func (r *node) alone(link *handover.Link) {
-	if r.link != link {
-		return
-	}
-	r.link, r.peer, r.core.Ids = nil, use{}, nil
-	r.core.Alone()
-	for _, answer := range r.bans {
-		answer(false)
+// hear takes one message of another process.
+func (r *node) hear(p *peer, m handover.Message) {
+	defer func() {
+		for _, f := range m.Files {
+			_ = f.Close()
+		}
+	}()
+	var err error
+	if kind, ok := messages[m.Kind]; ok {
+		err = r.hearMachine(p, kind, &m)
+	} else if p.place != takeover.None && r.links[p.place] == p && r.core != nil {
+		err = r.hearOther(p, &m)
 	}
-	r.claims.Lock()
-	r.claimOn = nil
-	for _, ch := range r.claimed {
-		close(ch)
+	if err != nil {
+		r.log.Warn("a message of the other process can't be read", "kind", m.Kind, "err", err)
 	}
-	clear(r.claimed)
-	r.claims.Unlock()
-	r.rebound()
-	r.limit()
-	r.log.Info("alone", "successor", r.successor, "leaving", r.leaving)
-	r.proceed()
-	if r.bgp != nil {
-		r.bgp.Adopt(r.net, bgp.Handed{}, nil) // connects, if it waited for the old process's session
+}
+
+// hearMachine takes a message that is the machine's.
+func (r *node) hearMachine(p *peer, kind takeover.Kind, m *handover.Message) error {
+	switch kind {
+	case takeover.Hello:
+		var h hello
+		if err := m.Read(&h); err != nil {
+			return err
+		}
+		version, ok := takeover.Agree(h.Version)
+		if !ok {
+			p.link.Close()
+			return fmt.Errorf("process %d speaks version %d, this one %d to %d", h.PID, h.Version, takeover.Oldest, takeover.Version)
+		}
+		who := h.Place
+		if who < takeover.First {
+			who = takeover.Stranger
+		}
+		if who <= r.machine.Self { // a folder that was tampered with: each asks only who was there before it
+			p.link.Close()
+			return fmt.Errorf("process %d has place %d, and this one %d", h.PID, who, r.machine.Self)
+		}
+		p.version = version
+		if p.place == takeover.None {
+			p.place = who
+			if old := r.links[who]; old != nil {
+				old.link.Close()
+			}
+			r.links[who] = p
+		}
+	case takeover.State:
+		s := state{Version: 1}
+		if err := m.Read(&s); err != nil {
+			return err
+		}
+		if len(m.Files) != len(s.Listeners) {
+			return errors.New("the descriptors don't match the listeners")
+		}
+		p.version, _ = takeover.Agree(s.Version)
+		if r.generation == s.Generation { // of a process of version 1, which counts by itself
+			r.generation = (s.Generation + 8) % 16
+		}
+		r.handed, r.files = s, map[string]*os.File{}
+		for i, f := range m.Files {
+			r.files[s.Listeners[i]] = f
+		}
+		defer clear(r.files)
+	case takeover.Ready:
+		var now ready
+		if err := m.Read(&now); err != nil {
+			return err
+		}
+		r.theyTook = now.Took
 	}
-	switch {
-	case r.older && !r.dismissed:
-		r.resume()
-	case r.leaving:
-		r.end()
+	if r.links[p.place] == p {
+		r.step(takeover.Event{Kind: takeover.Received, Peer: p.place, Message: kind})
 	}
+	return nil
 }
 
-// resume accepts again after a successor that ended.
-func (r *node) resume() {
-	r.successor, r.older = false, false
-	if !r.draining { // the successor took its place at the meeting point
-		_ = r.waiting.Close()
-		r.awaitSuccessor()
-	}
-	open := func(which string, then func(net.Listener)) {
-		f := r.held[which]
-		if f == nil {
-			return
+// hearOther takes what the process that this one shares the router with has to tell.
+func (r *node) hearOther(p *peer, m *handover.Message) error {
+	switch m.Kind {
+	case msgID:
+		var n router.IDChange
+		if err := m.Read(&n); err != nil {
+			return err
 		}
-		lis, err := net.FileListener(f)
-		_ = f.Close()
-		delete(r.held, which)
-		if err != nil {
-			r.log.Error("can't accept again", "listener", which, "err", err)
-			return
+		r.core.Elsewhere(n)
+	case msgClaimID:
+		var c claimID
+		if err := m.Read(&c); err != nil {
+			return err
+		}
+		c.OK = r.core.Grant(c.ID)
+		p.link.Send(handover.New(msgWord, c))
+	case msgWord:
+		var c claimID
+		if err := m.Read(&c); err != nil {
+			return err
+		}
+		if word := r.words[c.N]; word != nil && c.OK {
+			word(router.Granted)
+		} else if word != nil {
+			word(router.Denied)
+		}
+	case msgUse:
+		var u use
+		if err := m.Read(&u); err != nil {
+			return err
+		}
+		r.peer = u
+		r.core.PeerUse(u.Module)
+		r.rebound()
+	case msgBan:
+		var b ban
+		if err := m.Read(&b); err != nil {
+			return err
 		}
-		then(lis)
+		b.Known = r.core.Knows(b.ID)
+		r.ban(b.ID, b.Exclude, b.Known, func() { p.link.Send(handover.New(msgBanned, b)) })
+	case msgBanned:
+		var b ban
+		if err := m.Read(&b); err != nil {
+			return err
+		}
+		if answer := r.answers[b.N]; answer != nil {
+			answer(b.Known)
+		}
+	case msgKill:
+		var k kill
+		if err := m.Read(&k); err != nil {
+			return err
+		}
+		r.front.Kill(k.ID, k.Query)
+	case msgClaim:
+		var c claim
+		if err := m.Read(&c); err != nil {
+			return err
+		}
+		if r.flight != nil {
+			c.Ticket = r.flight.Release(c.Handle)
+		}
+		p.link.Send(handover.New(msgClaimed, c))
+	case msgClaimed:
+		var c claim
+		if err := m.Read(&c); err != nil {
+			return err
+		}
+		r.settleClaim(c)
+	case msgTickets:
+		var all []flightsql.Ticket
+		if err := m.Read(&all); err != nil {
+			return err
+		}
+		if r.flight != nil {
+			r.flight.Take(all)
+		}
+	case msgBGP:
+		return r.adopt(m)
+	case msgBye:
+		p.bye = true
 	}
-	open(listenClients, func(lis net.Listener) { r.listening = r.net.Serve(lis, r.front.Accept) })
-	open(listenFlight, r.flight.Accept)
-	open(listenDoor, r.door.Reopen)
-	r.log.Warn("the successor ended; accepting again")
+	return nil
 }
 
-// leave hears out what this process accepted and ends as soon as nothing is left: the successor has the rest.
+// leave hears out what this process accepted and ends as soon as nothing is left: the other one has the rest.
 func (r *node) leave() {
 	r.leaving = true
+	r.closeBy(patienceUpgrade)
 	r.front.Leave()
 	if r.flight != nil {
 		r.flight.Leave()
 	}
-	if r.bgp != nil {
-		link := r.link
+	if p := r.with; r.bgp != nil && p != nil {
 		r.bgp.HandOver(func(h bgp.Handed, f *os.File) {
 			if f == nil {
-				link.Send(handover.New(msgBGP, h))
+				p.link.Send(handover.New(msgBGP, h))
 				return
 			}
-			link.Send(handover.New(msgBGP, h, f))
+			p.link.Send(handover.New(msgBGP, h, f))
 			_ = f.Close()
 		})
 	}
 	r.rebound()
-	if r.link != nil {
-		r.sendUse(r.link) // the sessions that were closed just now come to the successor at once
-	}
+	r.sendUse() // the sessions that were closed just now come to the other process at once
 	r.busyAt = r.loop.Now()
 	r.log.Info("leaving", "sessions", r.front.Sessions(), "open", r.core.Open())
 	r.left()
 }
 
-// left ends the program once nothing has been left to hear out for a while.
+// left ends the process once nothing has been left to hear out for a while.
 func (r *node) left() {
 	now := r.loop.Now()
 	switch {
-	case !r.successor:
-		r.busyAt = now
-		r.drained() // the successor ended; this is a plain end now
-		return
+	case r.machine.Phase() == takeover.Draining:
+		return // the other process ended; this is a plain end now
 	case r.core.Open() > 0 || r.front.Sessions() > 0 || r.flight != nil && r.flight.Active() > 0:
 		r.busyAt = now
 	case now-r.busyAt >= lastWords:
-		if link := r.link; link != nil {
-			r.dismissed = true // the link's end is this process's own doing
-			if r.flight != nil {
-				link.Send(handover.New(msgTickets, r.flight.ReleaseAll()))
+		if r.flight != nil {
+			if all := r.flight.ReleaseAll(); len(all) > 0 {
+				r.tell(msgTickets, all)
 			}
-			link.Close() // once all is written; alone hears of it
 		}
-		r.loop.After(farewellWithin, r.end)
+		r.step(takeover.Event{Kind: takeover.Quiet})
 		return
 	}
 	r.loop.After(10, r.left)
 }
 
-func (r *node) end() { r.stopping.Do(func() { close(r.stop) }) }
+// end ends the process once what it sent to others is written, or its time is up.
+func (r *node) end() {
+	if r.bgp != nil && !r.leaving {
+		r.bgp.Stop()
+	}
+	for _, p := range r.links {
+		p.link.Close()
+	}
+	if len(r.links) == 0 {
+		r.halt()
+		return
+	}
+	clear(r.links) // their ends are this process's own doing
+	r.loop.After(farewellWithin, r.halt)
+}
+
+func (r *node) halt() { r.stopping.Do(func() { close(r.stop) }) }
 
 const (
 	// lastWords is how long nothing may have been open, in milliseconds: connections that were accepted last are still on
 	// their way to the loop, and answers on theirs out of the poller's queues.
 	lastWords = 50.0
-	// farewellWithin bounds the wait for the successor to take the last message.
-	farewellWithin = 300.0
+	// farewellWithin is the time for the last messages.
+	farewellWithin = 100.0
 )
 
 // adopt takes the old process's BGP session over.
-func (r *node) adopt(m handover.Message) {
+func (r *node) adopt(m *handover.Message) error {
 	var h bgp.Handed
-	var f *os.File
-	if err := m.Read(&h); err != nil {
-		r.log.Warn("a message of the other process can't be read", "kind", m.Kind, "err", err)
+	err := m.Read(&h)
+	if r.bgp == nil {
+		return err
 	}
+	var f *os.File
 	if len(m.Files) > 0 {
-		f = m.Files[0]
-	}
-	if r.bgp != nil {
-		r.bgp.Adopt(r.net, h, f)
-	} else if f != nil {
-		_ = f.Close()
+		f, m.Files = m.Files[0], m.Files[1:]
 	}
+	r.bgp.Adopt(r.net, h, f)
+	return err
 }
 
 // kill passes a KILL on to the other process; false says that there is none.
 func (r *node) kill(id uint32, query bool) bool {
-	if r.link == nil {
+	if r.with == nil {
 		return false
 	}
-	r.link.Send(handover.New(msgKill, kill{id, query}))
+	r.tell(msgKill, kill{id, query})
 	return true
 }
 
+// claimID asks the process that this one shares the router with before what must not run twice begins.
+func (r *node) claimID(id string, then func(router.Word)) {
+	ask, may := r.machine.Peers()
+	p := r.links[ask]
+	switch {
+	case !may || ask != takeover.None && p == nil:
+		r.loop.After(0, func() { then(router.Silent) })
+		return
+	case ask == takeover.None || p.version == 1: // which knows no such question
+		then(router.Granted)
+		return
+	}
+	r.seq++
+	n := r.seq
+	var late *router.Timer
+	r.words[n] = func(w router.Word) {
+		delete(r.words, n)
+		late.Stop()
+		then(w)
+	}
+	late = r.loop.After(wordWithin, func() { r.words[n](router.Silent) })
+	p.link.Send(handover.New(msgClaimID, claimID{N: n, ID: id}))
+}
+
+// order carries out an operator's word on an engine, and answers once it is in force in all processes of this router.
+func (r *node) order(engine string, exclude bool, answer func(bool)) {
+	id, err := board.ParseID(engine)
+	if err != nil {
+		answer(false)
+		return
+	}
+	known := r.core.Knows(id)
+	r.ban(id, exclude, known, func() { r.tellBan(id, exclude, known, answer) })
+}
+
+// ban notes a ban, or its end, where all processes of this router see it, then carries it out here, then goes on.
+func (r *node) ban(id brain.EngineID, exclude, known bool, then func()) {
+	apply := func() {
+		if known {
+			if exclude {
+				r.core.Exclude(id)
+				r.out[id] = true
+			} else {
+				r.core.Include(id)
+				delete(r.out, id)
+			}
+		}
+		then()
+	}
+	if r.place == nil || !known {
+		apply()
+		return
+	}
+	note := func() {
+		if err := r.place.Ban(board.FormatID(id), exclude); err != nil {
+			r.log.Warn("a ban can't be noted for other processes of this router", "engine", board.FormatID(id), "err", err)
+		}
+		r.loop.Post(apply)
+	}
+	select {
+	case r.io <- note:
+	default:
+		r.log.Warn("a ban can't be noted for other processes of this router", "engine", board.FormatID(id), "err", "the disk does not answer")
+		apply()
+	}
+}
+
+// readBans has the loop go by the bans that are noted. It is called where files may be waited for.
+func (r *node) readBans() {
+	names, err := r.place.Banned()
+	if err != nil {
+		return
+	}
+	now := map[brain.EngineID]bool{}
+	for _, name := range names {
+		if id, err := board.ParseID(name); err == nil {
+			now[id] = true
+		}
+	}
+	r.loop.Post(func() { r.goBy(now) })
+}
+
+// goBy carries out the bans that other processes of this router were told.
+func (r *node) goBy(now map[brain.EngineID]bool) {
+	if maps.Equal(now, r.out) {
+		return
+	}
+	old := r.out
+	r.out = now
+	if r.core == nil {
+		return // build goes by them
+	}
+	for id := range old {
+		if !now[id] {
+			r.core.Include(id)
+		}
+	}
+	r.core.Adopt(slices.Sorted(maps.Keys(now)))
+	r.log.Info("bans", "excluded", len(now))
+}
+
 // tellBan tells the other process of an operator's word, and answers the operator once it is in force there too.
 func (r *node) tellBan(id brain.EngineID, exclude, known bool, answer func(bool)) {
-	if r.link == nil {
+	if r.with == nil {
 		answer(known)
 		return
 	}
-	r.banSeq++
-	n := r.banSeq
+	r.seq++
+	n := r.seq
 	var late *router.Timer
-	r.bans[n] = func(there bool) {
-		delete(r.bans, n)
+	r.answers[n] = func(there bool) {
+		delete(r.answers, n)
 		late.Stop()
 		answer(known || there)
 	}
-	late = r.loop.After(banWithin, func() { r.bans[n](false) })
-	r.link.Send(handover.New(msgBan, ban{N: n, ID: id, Exclude: exclude}))
+	late = r.loop.After(banWithin, func() { r.answers[n](false) })
+	r.tell(msgBan, ban{N: n, ID: id, Exclude: exclude})
 }
 
 // claim asks the other process for a ticket; it is called in gRPC's goroutines.
@@ -603,21 +1041,115 @@
 	}
 }
 
-// closeUpgrade gives up what an upgrade needs; a successor's socket is left alone.
+// rebound goes by the bounds of the configuration, or by this process's part of them.
+func (r *node) rebound() {
+	if b, err := r.bounds(r.cfg); err == nil {
+		r.apply(b)
+	}
+}
+
+// part takes the other process's part off the bounds. Sessions are divided as they stand: the old process accepts no
+// more, and what it closes comes to the new one. Connections to engines are halved, until the old one leaves. A process
+// beside one that hangs keeps to what every process leaves for a successor.
+func (r *node) part(b *bounds, share takeover.Share) {
+	b.inbound /= 2
+	b.mysql.MaxBuffered /= 2
+	if share != takeover.Half {
+		b.mysql.MaxSessions = min(b.mysql.MaxSessions, guardedSessions)
+		b.fetch.MaxConns = min(b.fetch.MaxConns, guardedConns)
+		return
+	}
+	b.mysql.MaxSessions = max(b.mysql.MaxSessions-r.peer.Sessions, b.mysql.MaxSessions/3)
+	half := max(b.fetch.MaxConns/2-spareConns, 16)
+	switch {
+	case r.leaving:
+		b.fetch.MaxConns = max(min(r.client.Conns(), half), 16)
+	case r.peer.Leaving:
+		b.fetch.MaxConns = max(b.fetch.MaxConns-max(r.peer.Conns, 16)-2*spareConns, half)
+	default:
+		b.fetch.MaxConns = half
+	}
+}
+
+// closeUpgrade gives up what an upgrade needs.
 func (r *node) closeUpgrade() {
-	if r.waiting != nil {
-		_ = r.waiting.Close()
-		if !r.older {
-			_ = os.Remove(r.path)
-		}
+	if r.place != nil {
+		r.place.Close()
 	}
-	if r.link != nil {
-		r.link.Close()
+	for _, p := range r.links {
+		p.link.Close()
 	}
-	for _, f := range r.held {
-		_ = f.Close()
+	for _, lis := range r.idle {
+		_ = lis.Close()
 	}
 	if r.passed != nil {
 		_ = r.passed.Close()
 	}
 }
+
+// provide gets a listener: the socket that the platform passed on, for clients; else the one of the process that this one
+// takes over from, where the address is the same; else one of its own.
+func (r *node) provide(which string) error {
+	field, addr := "listen", r.cfg.Listen
+	switch which {
+	case listenFlight:
+		field, addr = "flight sql listen", r.extra.flight.Listen
+	case listenDoor:
+		field, addr = "control", r.cfg.Control
+	}
+	lis, shared, err := r.listener(which, field, addr)
+	if errors.Is(err, syscall.EADDRINUSE) && r.machine.Phase() == takeover.Guarded {
+		r.missing = append(r.missing, which)
+		return nil
+	}
+	if err != nil {
+		return err
+	}
+	if shared {
+		r.took = append(r.took, which)
+	}
+	if which == listenDoor { // heard at once: an operator may ask whether it is ready
+		r.openDoor(lis)
+		return nil
+	}
+	if which == listenClients {
+		r.clientsAt = lis.Addr().String()
+	}
+	r.idle[which] = lis
+	return nil
+}
+
+// listener gives where to accept, and whether another process accepts there too.
+func (r *node) listener(which, field, addr string) (lis net.Listener, shared bool, err error) {
+	if fd := os.Getenv(passedEnv); fd != "" && which == listenClients {
+		n, err := strconv.Atoi(fd)
+		if err != nil || n < 3 {
+			return nil, false, fmt.Errorf("%s: %q is no descriptor", passedEnv, fd)
+		}
+		syscall.CloseOnExec(n)
+		r.passed = os.NewFile(uintptr(n), "passed socket")
+		if lis, err = netio.Inherit(r.passed); err != nil {
+			return nil, false, fmt.Errorf("%s: descriptor %d: %w", passedEnv, n, err)
+		}
+		return lis, true, nil
+	}
+	if f := r.files[which]; f != nil && r.handed.At[which] == addr {
+		if lis, err = netio.Inherit(f); err == nil {
+			return lis, true, nil
+		}
+		r.log.Warn("a listener that was handed over can't be used", "field", field, "err", err)
+	}
+	bind := func() (err error) {
+		lis, err = netio.Listen(addr)
+		return err
+	}
+	if r.machine.Phase() == takeover.Guarded { // its holder hangs, and the loop has requests to serve
+		err = bind()
+	} else {
+		err = retry(bind)
+	}
+	if err != nil {
+		return nil, false, fmt.Errorf("field %s: %w", field, err)
+	}
+	return lis, false, nil
+}
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -117,6 +117,9 @@
 	return l, known.Rev, nil
 }
 
+// FormatID gives an engine's id as it stands in text.
+func FormatID(id brain.EngineID) string { return fmt.Sprintf("s-%08x", uint32(id)) }
+
 // ParseID reads an engine's id as it stands in text.
 func ParseID(s string) (brain.EngineID, error) {
 	hex, ok := strings.CutPrefix(s, "s-")
--- a/internal/decide/takeover/takeover.go
+++ b/internal/decide/takeover/takeover.go
@@ -95,7 +95,7 @@
 // Events.
 const (
 	Tick     EventKind = iota // time has passed
-	Looked                    // Peer is the newest living process before this one, or None
+	Looked                    // Peer is the newest living process before this one, or None; Gone comes besides for an elder that ended
 	Received                  // Message from Peer
 	Cut                       // the link to Peer broke, and Peer lives
 	Gone                      // Peer has ended
@@ -162,6 +162,7 @@
 	back    bool // the newer one was told to end, and gave the place back
 	known   bool // the elder's state, or that there is nobody: ids that may have run are known
 	stop    bool // told to end
+	waits   bool // a hello has no answer yet
 	begun   bool // it accepted at some time
 	askBy   float64
 	askAt   float64 // 0 while nothing is to be asked
@@ -297,6 +298,10 @@
 		s.askAt = 0
 		return
 	}
+	if p < s.elder {
+		s.askAt = s.now + s.set.AskEvery // it has ended; what it sent, and word of its end, are on their way
+		return
+	}
 	if p == None {
 		s.nobody()
 		return
@@ -305,14 +310,17 @@
 		if p != s.elder {
 			return // the elder's end is still on its way
 		}
-	} else {
-		s.elder = p
+	} else if p != s.elder {
+		s.elder, s.waits = p, false
 	}
 	if s.phase == Looking {
 		s.to(Asking)
 	}
 	s.askAt = s.now + s.set.AskEvery
-	s.send(p, Hello)
+	if !s.waits { // one that is slow would else answer many in the end
+		s.waits = true
+		s.send(p, Hello)
+	}
 }
 
 // nobody goes on where no elder lives.
@@ -355,6 +363,7 @@
 	case Hello:
 		s.hello(p)
 	case Wait:
+		s.waits = s.waits && p != s.elder
 		if p == s.elder && s.phase == Asking {
 			s.askBy = max(s.askBy, s.now+s.set.SilentFor) // it lives and has its reasons
 		}
@@ -396,6 +405,7 @@
 	if p != s.elder || s.yielded {
 		return
 	}
+	s.waits = false
 	switch s.phase {
 	case Asking:
 		s.to(Taking)
@@ -440,6 +450,7 @@
 // cut goes on after a link that broke though the process at its other end lives.
 func (s *step) cut(p Peer) {
 	if p == s.elder && p != None && s.asks() {
+		s.waits = false
 		s.askAt = s.now + s.set.AskEvery // an elder that hangs at its end would be asked without a pause
 	}
 }
@@ -450,7 +461,7 @@
 		return
 	}
 	if p == s.elder {
-		s.elder, s.yielded = None, false
+		s.elder, s.yielded, s.waits = None, false, false
 		switch s.phase {
 		case Asking:
 			s.to(Looking)
--- a/internal/flightsql/front.go
+++ b/internal/flightsql/front.go
@@ -29,6 +29,7 @@
 	"google.golang.org/protobuf/types/known/durationpb"
 
 	"windflow/brain"
+	"windflow/internal/netio"
 	"windflow/internal/router"
 )
 
@@ -62,6 +63,7 @@
 	active atomic.Int64
 	claim  atomic.Pointer[func(handle string) *Ticket]
 
+	opened    bool // it has accepted at some time
 	listening sync.Mutex
 	lis       net.Listener // nil while it does not accept
 
@@ -103,20 +105,20 @@
 	Once    bool
 }
 
-// Listen starts a front on a listener, which it takes over; seed makes its tickets hard to guess, and two processes of
-// one router that share one differ in generation.
-func Listen(cfg Config, lis net.Listener, core *router.Core, loop *router.Loop, seed uint64, generation uint8, log *slog.Logger) (*Front, error) {
+// New returns a front that accepts nothing yet; seed makes its tickets hard to guess, and two processes of one router
+// that share one differ in generation.
+func New(cfg Config, core *router.Core, loop *router.Loop, seed uint64, generation uint8, log *slog.Logger) (*Front, error) {
 	var key [32]byte
 	for i := range key {
 		key[i] = byte(seed >> (8 * (i % 8)))
 	}
 	key[len(key)-1] ^= generation
-	f := &Front{core: core, loop: loop, log: log, addr: lis.Addr().String(), most: cfg.MaxConnections, tickets: map[string]*ticket{},
+	f := &Front{core: core, loop: loop, log: log, addr: cfg.Listen, most: cfg.MaxConnections, tickets: map[string]*ticket{},
 		order: list.New(), rng: rand.NewChaCha8(key)}
 	f.Alloc = memory.DefaultAllocator
 	for id, value := range about {
 		if err := f.RegisterSqlInfo(id, value); err != nil {
-			return nil, errors.Join(err, lis.Close())
+			return nil, err
 		}
 	}
 	f.server = grpc.NewServer(grpc.MaxRecvMsgSize(maxCall), grpc.MaxConcurrentStreams(maxStreams),
@@ -124,13 +126,15 @@
 		grpc.ConnectionTimeout(5*time.Second), grpc.MaxHeaderListSize(16<<10),
 		grpc.UnaryInterceptor(f.guardUnary), grpc.StreamInterceptor(f.guardStream))
 	flight.RegisterFlightServiceServer(f.server, flightsql.NewFlightServer(f))
-	f.Accept(lis)
 	return f, nil
 }
 
 // Accept takes calls on a listener, which it takes over.
 func (f *Front) Accept(lis net.Listener) {
 	f.listening.Lock()
+	if !f.opened { // later on calls read it
+		f.addr, f.opened = lis.Addr().String(), true
+	}
 	f.lis = lis
 	f.listening.Unlock()
 	go func() {
@@ -163,13 +167,7 @@
 	return f.file()
 }
 
-func (f *Front) file() (*os.File, error) {
-	tcp, ok := f.lis.(*net.TCPListener)
-	if !ok {
-		return nil, errors.New("no TCP listener")
-	}
-	return tcp.File()
-}
+func (f *Front) file() (*os.File, error) { return netio.Copy(f.lis) }
 
 // Leave tells clients to go on at the other process, and lets calls that are at hand end.
 func (f *Front) Leave() { go f.server.GracefulStop() }
--- /dev/null
+++ b/internal/handover/place.go
@@ -0,0 +1,244 @@
+package handover
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"windflow/internal/decide/takeover"
+)
+
+// Place is a process's place in the order of the processes of one router, and the folder that they share. Of each place
+// there is a socket, on which newer processes find this one, and a file that the process keeps locked while it lives: the
+// system gives the lock up with the process, whatever becomes of it, and one that is stopped keeps it.
+type Place struct {
+	Peer     takeover.Peer
+	Listener *net.UnixListener
+	base     string
+	lock     *os.File
+}
+
+const (
+	// rosterWithin bounds the wait for another process that is taking its place.
+	rosterWithin = 2 * time.Second
+	// dialWithin bounds a dial; a process that is stopped still has its connections come up.
+	dialWithin = time.Second
+)
+
+// TakePlace takes the next place among the processes of the router of that name. Where none of them lives, what they
+// left behind is removed, their bans too: a plain restart starts from nothing.
+func TakePlace(dir, name string) (*Place, error) {
+	path, err := Path(dir, name)
+	if err != nil {
+		return nil, err
+	}
+	p := &Place{base: strings.TrimSuffix(path, ".sock")}
+	roster, err := os.OpenFile(p.base+".roster", os.O_RDWR|os.O_CREATE, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer roster.Close() // gives the lock up
+	for until := time.Now().Add(rosterWithin); ; time.Sleep(10 * time.Millisecond) {
+		if err = flock(roster, syscall.LOCK_EX|syscall.LOCK_NB); err == nil {
+			break
+		}
+		if time.Now().After(until) {
+			return nil, fmt.Errorf("%s: another process is taking its place and does not go on: %w", roster.Name(), err)
+		}
+	}
+	// The greatest place ever given is kept: one that was given again would be taken for the process that had it.
+	last := takeover.First - 1
+	text := make([]byte, 32)
+	n, _ := roster.ReadAt(text, 0)
+	if v, err := strconv.ParseUint(strings.TrimSpace(string(text[:n])), 10, 48); err == nil {
+		last = max(last, takeover.Peer(v))
+	}
+	anybody := p.legacy()
+	for _, there := range p.places() {
+		last = max(last, there)
+		if p.Lives(there) {
+			anybody = true
+			continue
+		}
+		_ = os.Remove(p.socket(there))
+		_ = os.Remove(p.lockFile(there))
+	}
+	if !anybody {
+		_ = os.RemoveAll(p.bans())
+	}
+	p.Peer = last + 1
+	if _, err := roster.WriteAt([]byte(fmt.Sprintf("%-20d\n", p.Peer)), 0); err != nil {
+		return nil, err
+	}
+	if p.lock, err = os.OpenFile(p.lockFile(p.Peer), os.O_RDWR|os.O_CREATE, 0o600); err != nil {
+		return nil, err
+	}
+	err = flock(p.lock, syscall.LOCK_EX)
+	if err == nil {
+		_ = os.Remove(p.socket(p.Peer))
+		p.Listener, err = net.ListenUnix("unix", &net.UnixAddr{Name: p.socket(p.Peer), Net: "unix"})
+	}
+	if err == nil {
+		p.Listener.SetUnlinkOnClose(false)
+		err = os.Chmod(p.socket(p.Peer), 0o600)
+	}
+	if err != nil {
+		p.Close()
+		return nil, err
+	}
+	return p, nil
+}
+
+func (p *Place) socket(of takeover.Peer) string {
+	if of == takeover.Unplaced {
+		return p.base + ".sock"
+	}
+	return fmt.Sprintf("%s.%d.sock", p.base, of)
+}
+
+func (p *Place) lockFile(of takeover.Peer) string { return fmt.Sprintf("%s.%d.lock", p.base, of) }
+func (p *Place) bans() string                     { return p.base + ".bans" }
+
+// places gives those that have a file, living or not, in their order.
+func (p *Place) places() (all []takeover.Peer) {
+	names, _ := filepath.Glob(p.base + ".*.lock")
+	for _, name := range names {
+		text := strings.TrimSuffix(strings.TrimPrefix(name, p.base+"."), ".lock")
+		if n, err := strconv.ParseUint(text, 10, 48); err == nil && takeover.Peer(n) >= takeover.First {
+			all = append(all, takeover.Peer(n))
+		}
+	}
+	slices.Sort(all)
+	return all
+}
+
+// Lives tells whether the process of a place lives; one that is stopped does.
+func (p *Place) Lives(of takeover.Peer) bool {
+	if of == takeover.Unplaced {
+		return p.legacy()
+	}
+	f, err := os.Open(p.lockFile(of))
+	if err != nil {
+		// Short of descriptors it can't be told, and must not pass for an end.
+		return !errors.Is(err, fs.ErrNotExist)
+	}
+	defer f.Close()
+	return flock(f, syscall.LOCK_SH|syscall.LOCK_NB) != nil
+}
+
+// legacy tells whether a process of version 1 waits where those do. A placed process is published there under its own
+// socket's name, too, and does not count.
+func (p *Place) legacy() bool {
+	at, err := os.Stat(p.socket(takeover.Unplaced))
+	if err != nil {
+		return false
+	}
+	for _, there := range p.places() {
+		if own, err := os.Stat(p.socket(there)); err == nil && os.SameFile(at, own) {
+			return false
+		}
+	}
+	conn, err := Dial(p.socket(takeover.Unplaced), dialWithin)
+	if err != nil {
+		return !errors.Is(err, syscall.ECONNREFUSED) && !errors.Is(err, fs.ErrNotExist)
+	}
+	_ = conn.Close()
+	return true
+}
+
+// Elder gives the newest living process before this one, or None.
+func (p *Place) Elder() takeover.Peer {
+	for _, there := range slices.Backward(p.places()) {
+		if there < p.Peer && p.Lives(there) {
+			return there
+		}
+	}
+	if p.legacy() {
+		return takeover.Unplaced
+	}
+	return takeover.None
+}
+
+// Call connects to the process of a place.
+func (p *Place) Call(of takeover.Peer) (*net.UnixConn, error) { return Dial(p.socket(of), dialWithin) }
+
+// Publish has processes of version 1 find this one.
+func (p *Place) Publish() error {
+	mine := p.base + ".own"
+	_ = os.Remove(mine)
+	if err := os.Link(p.socket(p.Peer), mine); err != nil {
+		return err
+	}
+	err := os.Rename(mine, p.socket(takeover.Unplaced))
+	_ = os.Remove(mine) // a rename onto another name of the same file leaves both
+	return err
+}
+
+// Close gives the place up.
+func (p *Place) Close() {
+	if p.Listener != nil {
+		_ = p.Listener.Close()
+	}
+	own, err := os.Stat(p.socket(p.Peer))
+	if at, bad := os.Stat(p.socket(takeover.Unplaced)); err == nil && bad == nil && os.SameFile(at, own) {
+		_ = os.Remove(p.socket(takeover.Unplaced))
+	}
+	_ = os.Remove(p.socket(p.Peer))
+	_ = os.Remove(p.lockFile(p.Peer))
+	if p.lock != nil {
+		_ = p.lock.Close()
+	}
+}
+
+// A ban by hand is an empty file, named for the engine, in a folder that all processes of the router read: it is in
+// force for a process that starts while the one that was told of it hangs.
+
+// Ban notes that an engine is out by hand, or is not any more; it may be told twice.
+func (p *Place) Ban(engine string, out bool) error {
+	if !out {
+		err := os.Remove(filepath.Join(p.bans(), engine))
+		if errors.Is(err, fs.ErrNotExist) {
+			return nil
+		}
+		return err
+	}
+	if err := os.MkdirAll(p.bans(), 0o700); err != nil {
+		return err
+	}
+	f, err := os.OpenFile(filepath.Join(p.bans(), engine), os.O_WRONLY|os.O_CREATE, 0o600)
+	if err != nil {
+		return err
+	}
+	return f.Close()
+}
+
+// Banned lists the engines that are out by hand.
+func (p *Place) Banned() ([]string, error) {
+	entries, err := os.ReadDir(p.bans())
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil, nil
+	}
+	var all []string
+	for _, e := range entries {
+		all = append(all, e.Name())
+	}
+	return all, err
+}
+
+func flock(f *os.File, how int) error {
+	return withFD(f, func(fd int) error {
+		for {
+			if err := syscall.Flock(fd, how); err != syscall.EINTR {
+				return err
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/netio/inherit_test.go
@@ -0,0 +1,70 @@
+package netio
+
+import (
+	"errors"
+	"net"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// A listener whose socket another process makes block, again and again, as net.FileListener does, and from whose queue
+// that one takes the connections. It guards against an accept that waits in the kernel, and a Close that waits for it.
+func TestInheritedNeverWaitsInTheKernel(t *testing.T) {
+	lis, err := Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	f, err := Copy(lis)
+	if err != nil {
+		t.Fatal(err)
+	}
+	raw, err := f.SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	block := func(on bool) { _ = raw.Control(func(fd uintptr) { _ = syscall.SetNonblock(int(fd), !on) }) }
+	var got sync.WaitGroup
+	got.Add(20)
+	ended := make(chan error)
+	go func() {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				ended <- err
+				return
+			}
+			_ = c.Close()
+			got.Done()
+		}
+	}()
+	for range 20 {
+		block(true)
+		c, err := net.DialTimeout("tcp", lis.Addr().String(), time.Minute)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = c.Close()
+		block(false)
+	}
+	got.Wait()
+	block(true)
+	_ = lis.Close()
+	if err := <-ended; !errors.Is(err, net.ErrClosed) {
+		t.Error(err)
+	}
+	// The other process accepts on.
+	next, err := Inherit(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer next.Close()
+	c, err := net.DialTimeout("tcp", next.Addr().String(), time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if here, err := next.Accept(); err != nil || here.RemoteAddr().String() != c.LocalAddr().String() {
+		t.Error(here, err)
+	}
+}
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -221,13 +221,7 @@
 func (l *Listener) Addr() string { return l.lis.Addr().String() }
 
 // File gives a copy of the listener's descriptor.
-func (l *Listener) File() (*os.File, error) {
-	tcp, ok := l.lis.(*net.TCPListener)
-	if !ok {
-		return nil, errors.New("no TCP listener")
-	}
-	return tcp.File()
-}
+func (l *Listener) File() (*os.File, error) { return Copy(l.lis) }
 
 // Again accepts on another listener in place of this one, for the same handlers.
 func (l *Listener) Again(lis net.Listener) *Listener { return l.net.Serve(lis, l.accept) }
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -156,7 +156,10 @@
 	spent    spent
 	seq      uint64
 	// Ids, where it is set, hears of ids as they come to be open or spent, or cease to be.
-	Ids       func(IDChange)
+	Ids func(IDChange)
+	// Claim, where it is set, asks the other process of this router whether an id may begin here, and calls back in the
+	// loop, once, and never from within.
+	Claim     func(id string, then func(Word))
 	closeAt   float64         // when the process ends; 0 while that is not known
 	elsewhere map[string]bool // ids that are open in another process of this router; see Elsewhere
 	Counters  Counters
@@ -262,9 +265,16 @@
 		c.Counters.Late++
 	}
 	c.guard(r)
-	c.events = append(c.events, brain.Arrival{Request: r.key, Class: class.Name, Tenant: q.Tenant, Group: q.Group,
-		Estimate: clock.Duration(q.EstimateMS), NeedMB: q.NeedMB, TimeLeft: clock.Duration(max(left, 0)),
-		Resent: q.Again})
+	begin := func() {
+		c.events = append(c.events, brain.Arrival{Request: r.key, Class: class.Name, Tenant: q.Tenant, Group: q.Group,
+			Estimate: clock.Duration(q.EstimateMS), NeedMB: q.NeedMB, TimeLeft: clock.Duration(max(r.end-c.loop.Now(), 0)),
+			Resent: q.Again})
+	}
+	if class.Semantics == brain.AtMostOnce {
+		c.claim(r, begin)
+	} else {
+		begin()
+	}
 	return Handle{r}, nil
 }
 
@@ -354,8 +364,7 @@
 func (c *Core) Include(id brain.EngineID) bool { return c.order(id, brain.Include{Engine: id}) }
 
 func (c *Core) order(id brain.EngineID, word brain.Event) bool {
-	c.settle() // a list that names the engine may just have come
-	if !c.module.Knows(id) {
+	if !c.Knows(id) {
 		return false
 	}
 	c.events = append(c.events, word)
--- a/internal/router/handover.go
+++ b/internal/router/handover.go
@@ -44,8 +44,9 @@
 	return State{Open: slices.Sorted(maps.Keys(c.byID)), Spent: c.spent.list(), Module: c.module.Snapshot()}
 }
 
-// TakeOver goes on from another process's state.
+// TakeOver goes on from another process's state; one that comes again takes the place of what came before.
 func (c *Core) TakeOver(s State) {
+	clear(c.elsewhere)
 	for _, id := range s.Open {
 		c.elsewhere[id] = true
 	}
@@ -90,6 +91,69 @@
 	}
 }
 
+// Word is what the other process says of an id before a request that must not run twice is begun here.
+type Word int
+
+// Words: it may begin; it may have run there; nothing was said.
+const (
+	Granted Word = iota
+	Denied
+	Silent
+)
+
+// claimBackoffMS is the advice with a refusal for want of the other process's word, in milliseconds.
+const claimBackoffMS = 500.0
+
+// claim asks the other process, where there is one, before a request that must not run twice is begun. It guards against
+// an id that a client sends to both: news of it may be on its way. Nothing of the request has been sent until then.
+func (c *Core) claim(r *request, begin func()) {
+	if c.Claim == nil {
+		begin()
+		return
+	}
+	c.Claim(r.ID, func(w Word) {
+		switch {
+		case r.asker == nil: // the client left
+		case w == Granted:
+			begin()
+		case w == Denied:
+			c.fail(r, ReasonEngine)
+		default:
+			asker := r.asker
+			c.finish(r)
+			c.Counters.Refused++
+			c.ByClass[r.Class].Refused++
+			asker.Refused(claimBackoffMS)
+		}
+	})
+}
+
+// Grant answers the other process's claim. From then on the id counts here as one that may have run.
+func (c *Core) Grant(id string) bool {
+	if c.byID[id] != nil || c.spent.has(id) {
+		return false
+	}
+	c.spent.add(id)
+	return true
+}
+
+// Knows tells whether a list has named an engine.
+func (c *Core) Knows(id brain.EngineID) bool {
+	c.settle() // a list that names the engine may just have come
+	return c.module.Knows(id)
+}
+
+// Adopt keeps work from engines that operators have excluded in another process, whether a list has named them or not.
+func (c *Core) Adopt(out []brain.EngineID) {
+	c.events = append(c.events, brain.Takeover{Snapshot: brain.Snapshot{Known: out, Excluded: out, Done: -1}})
+	c.settle()
+	for _, id := range out {
+		if e, ok := c.engines[id]; ok {
+			c.client.Withhold(e)
+		}
+	}
+}
+
 // Use gives what this process has running on each engine.
 func (c *Core) Use() brain.PeerUse { return c.module.Use(clock.Duration(c.loop.Now())) }
 
