--- a/cmd/windflow/main.go
+++ b/cmd/windflow/main.go
@@ -105,8 +105,8 @@
 		return errors.New("PROXY_CONFIG: the path of the configuration is not set")
 	}
 	// Heard from the first on: a signal that comes before the router is ready waits, where its default would end it.
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1)
+	signals := make(chan os.Signal, 16)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGCONT)
 	cfg, err := readConfig(path)
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
@@ -120,9 +120,13 @@
 	r.begin(true)
 	go func() {
 		for s := range signals {
-			if s == syscall.SIGHUP {
+			switch s {
+			case syscall.SIGHUP:
 				r.reload(path, opts) // reads the files here: the loop may not wait for a disk
 				continue
+			case syscall.SIGCONT:
+				r.conts.Add(1)
+				continue
 			}
 			r.loop.Post(func() { r.signal(s) })
 		}
@@ -323,6 +327,7 @@
 	clientsAt    string          // where clients connect
 	listening    *netio.Listener // for them; nil while this process does not accept
 	upgrade
+	stall
 }
 
 // reload reads the configuration again, and the files that the command line names, and hands them to the loop. One
--- /dev/null
+++ b/cmd/windflow/stall.go
@@ -0,0 +1,87 @@
+package main
+
+import (
+	"log/slog"
+	"runtime"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// beatEvery is how often the loop shows that it goes on, in milliseconds; stalledAfter is the silence after which
+	// what it knows is old: the rule on drains and bans leaves a second, of which some is needed to hear of them.
+	beatEvery    = 100.0
+	stalledAfter = 400.0
+	// hearFor is how long a loop that stood still hears, and sends nothing, in milliseconds.
+	hearFor = 40.0
+	// watchEvery is how often the loop is looked at from outside.
+	watchEvery = 250 * time.Millisecond
+	// maxStack bounds the stacks in the log.
+	maxStack = 32 << 10
+)
+
+// stall is what a router keeps for noticing that it stood still.
+type stall struct {
+	beatAt float64      // of the loop
+	seen   atomic.Int64 // the same for the watch, in microseconds
+	waking bool         // it hears, and sends nothing
+	conts  atomic.Int64 // SIGCONTs: the process had been stopped by a signal
+	Stalls int64
+}
+
+// beat notices that the loop stood still: the process was stopped, or got no processor. Then clients' queries wait that
+// came meanwhile, and so does word of drains and bans. It guards against the one being sent before the other is heard:
+// what came is handed to the module only after the loop has heard for a while, and read the folder of bans.
+func (r *node) beat() {
+	now := r.loop.Now()
+	late := now - r.beatAt - beatEvery
+	if r.beatAt > 0 && late > stalledAfter && !r.waking && r.core != nil {
+		r.Stalls++
+		r.waking = true
+		r.log.Warn("the loop stood still", "ms", int(late), "open", r.core.Open(), "continued", r.conts.Load())
+		r.core.Hear(true)
+		wake := func() {
+			r.loop.After(hearFor, func() {
+				r.waking = false
+				r.core.Hear(false)
+			})
+		}
+		if r.place == nil {
+			wake()
+		} else {
+			r.inOrder(func() {
+				r.readBans()
+				r.loop.Post(wake)
+			}, wake)
+		}
+	}
+	r.beatAt = now
+	r.seen.Store(int64(now * 1e3))
+	r.loop.After(beatEvery, r.beat)
+}
+
+// watchLoop logs where the loop stands when it does not go on though the process does.
+func (r *node) watchLoop() {
+	tick := time.NewTicker(watchEvery)
+	defer tick.Stop()
+	last, told := time.Now(), false
+	for {
+		select {
+		case <-r.stop:
+			return
+		case <-tick.C:
+		}
+		own := time.Since(last)
+		last = time.Now()
+		late := r.loop.Now() - float64(r.seen.Load())/1e3
+		if own > 2*watchEvery || late < 1000 {
+			told = false
+			continue
+		}
+		if !told {
+			told = true
+			text := make([]byte, maxStack)
+			r.log.Error("the loop does not go on", "ms", int(late), slog.String("stacks", string(text[:runtime.Stack(text, true)])))
+		}
+	}
+}
--- a/cmd/windflow/upgrade.go
+++ b/cmd/windflow/upgrade.go
@@ -118,6 +118,7 @@
 		ID      brain.EngineID `json:"id"`
 		Exclude bool           `json:"exclude"`
 		Known   bool           `json:"known"`
+		Unnoted bool           `json:"unnoted,omitempty"` // it is in no folder; version 2
 	}
 	kill struct {
 		ID    uint32 `json:"id"`
@@ -165,6 +166,7 @@
 	words      map[int]func(router.Word) // claims that do
 	seq        int                       // of both
 	out        map[brain.EngineID]bool   // bans by hand, as the folder has them
+	unnoted    bool                      // the folder of bans can't be written: bans go by messages alone
 	io         chan func()               // work with the folder, in order
 	passed     *os.File                  // the clients' socket, where the platform holds it
 
@@ -184,7 +186,9 @@
 	r.answers, r.words = map[int]func(bool){}, map[int]func(router.Word){}
 	r.claimed, r.out = map[int64]chan *flightsql.Ticket{}, map[brain.EngineID]bool{}
 	r.io = make(chan func(), 64)
+	r.beat()
 	go r.work()
+	go r.watchLoop()
 	self := takeover.First
 	if placed {
 		var err error
@@ -225,6 +229,16 @@
 	}
 }
 
+// inOrder has work done with the folder, after what was asked for before; where that does not come to an end, it calls
+// full instead.
+func (r *node) inOrder(do, full func()) {
+	select {
+	case r.io <- do:
+	default:
+		full()
+	}
+}
+
 // step hands the machine an event and carries out what it wants.
 func (r *node) step(ev takeover.Event) {
 	before := r.machine.Phase()
@@ -744,7 +758,7 @@
 			return err
 		}
 		b.Known = r.core.Knows(b.ID)
-		r.ban(b.ID, b.Exclude, b.Known, func() { p.link.Send(handover.New(msgBanned, b)) })
+		r.banThere(p, b, func() { p.link.Send(handover.New(msgBanned, b)) })
 	case msgBanned:
 		var b ban
 		if err := m.Read(&b); err != nil {
@@ -938,18 +952,36 @@
 		apply()
 		return
 	}
-	note := func() {
-		if err := r.place.Ban(board.FormatID(id), exclude); err != nil {
-			r.log.Warn("a ban can't be noted for other processes of this router", "engine", board.FormatID(id), "err", err)
-		}
-		r.loop.Post(apply)
-	}
-	select {
-	case r.io <- note:
-	default:
-		r.log.Warn("a ban can't be noted for other processes of this router", "engine", board.FormatID(id), "err", "the disk does not answer")
+	engine := board.FormatID(id)
+	cant := func(err error) {
+		r.log.Warn("bans can't be noted for other processes of this router", "engine", engine, "err", err)
+		r.unnoted = true // the folder would undo it
 		apply()
 	}
+	r.inOrder(func() {
+		err := r.place.Ban(engine, exclude)
+		r.loop.Post(func() {
+			if err != nil {
+				cant(err)
+				return
+			}
+			apply()
+		})
+	}, func() { cant(errors.New("the disk does not answer")) })
+}
+
+// banThere carries out a ban that the other process was told. One of version 2 has noted it, and must not be overtaken by
+// a second note of this one's; what is read of the folder from now on has it.
+func (r *node) banThere(p *peer, b ban, then func()) {
+	if p.version < 2 || b.Unnoted || r.unnoted {
+		r.unnoted = r.unnoted || b.Unnoted
+		r.ban(b.ID, b.Exclude, b.Known, then)
+		return
+	}
+	r.inOrder(func() {
+		r.readBans()
+		r.loop.Post(then)
+	}, then)
 }
 
 // readBans has the loop go by the bans that are noted. It is called where files may be waited for.
@@ -969,7 +1001,7 @@
 
 // goBy carries out the bans that other processes of this router were told.
 func (r *node) goBy(now map[brain.EngineID]bool) {
-	if maps.Equal(now, r.out) {
+	if r.unnoted || maps.Equal(now, r.out) {
 		return
 	}
 	old := r.out
@@ -1001,7 +1033,7 @@
 		answer(known || there)
 	}
 	late = r.loop.After(banWithin, func() { r.answers[n](false) })
-	r.tell(msgBan, ban{N: n, ID: id, Exclude: exclude})
+	r.tell(msgBan, ban{N: n, ID: id, Exclude: exclude, Unnoted: r.unnoted})
 }
 
 // claim asks the other process for a ticket; it is called in gRPC's goroutines.
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -4,6 +4,7 @@
 package router
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -128,6 +129,7 @@
 	grant    float64
 	priority int
 	guard    *Timer
+	fresh    bool // the module has not been told yet: it may still send it
 }
 
 type attempt struct {
@@ -160,6 +162,8 @@
 	// Claim, where it is set, asks the other process of this router whether an id may begin here, and calls back in the
 	// loop, once, and never from within.
 	Claim     func(id string, then func(Word))
+	hearing   bool            // see Hear
+	fresh     []*request      // taken in since the module was last told
 	closeAt   float64         // when the process ends; 0 while that is not known
 	elsewhere map[string]bool // ids that are open in another process of this router; see Elsewhere
 	Counters  Counters
@@ -266,6 +270,7 @@
 	}
 	c.guard(r)
 	begin := func() {
+		r.fresh, c.fresh = true, append(c.fresh, r)
 		c.events = append(c.events, brain.Arrival{Request: r.key, Class: class.Name, Tenant: q.Tenant, Group: q.Group,
 			Estimate: clock.Duration(q.EstimateMS), NeedMB: q.NeedMB, TimeLeft: clock.Duration(max(r.end-c.loop.Now(), 0)),
 			Resent: q.Again})
@@ -300,7 +305,7 @@
 	r.guard.Stop()
 	delete(c.byID, r.ID)
 	c.changed(r.ID, IDDone)
-	if r.out == 0 {
+	if r.out == 0 && !r.fresh {
 		delete(c.requests, r.key)
 	}
 }
@@ -382,9 +387,37 @@
 // Avoided: see Listed.
 func (c *Core) Avoided() int { return c.module.Avoided(clock.Duration(c.loop.Now())) }
 
+// Hear has the core gather events and hand none to the module, until it is called with false: then what it heard of
+// engines goes first. It is for a process that stood still, and guards against queries that waited with it being sent by
+// an old view of the fleet.
+func (c *Core) Hear(on bool) {
+	c.hearing = on
+	if on {
+		return
+	}
+	slices.SortStableFunc(c.events, func(a, b brain.Event) int { return cmp.Compare(aboutEngines(b), aboutEngines(a)) })
+	c.settle()
+	for id, e := range c.engines {
+		if c.module.Excluded(id) {
+			c.client.Withhold(e)
+		}
+	}
+}
+
+func aboutEngines(ev brain.Event) int {
+	switch ev.(type) {
+	case brain.EngineList, brain.Exclude, brain.Include, brain.Takeover:
+		return 1
+	}
+	return 0
+}
+
 // settle hands all that was gathered to the module and carries out what came back.
 func (c *Core) settle() {
 	c.Counters.Steps++
+	if c.hearing {
+		return
+	}
 	for len(c.events) > 0 {
 		now := clock.Duration(c.loop.Now())
 		events := c.events
@@ -403,6 +436,12 @@
 		for _, id := range gone {
 			delete(c.engines, id) // ids need not return
 		}
+		for _, r := range c.fresh {
+			if r.fresh = false; r.asker == nil && r.out == 0 {
+				delete(c.requests, r.key)
+			}
+		}
+		c.fresh = c.fresh[:0]
 	}
 }
 
