Count standstills, and let a signal found after one count from its beginning

The machine stood, not the router; the operator's calls to a process that stands can't be heard, and its bans not known to anybody. A process that was told to end meanwhile reckoned its last moment from the end of the standstill and was killed before it. Now from its beginning; loop.stalls and loop.continued are counted.

--- a/cmd/windflow/main.go
+++ b/cmd/windflow/main.go
@@ -125,7 +125,7 @@
 				r.reload(path, opts) // reads the files here: the loop may not wait for a disk
 				continue
 			case syscall.SIGCONT:
-				r.conts.Add(1)
+				r.Continued.Add(1)
 				continue
 			}
 			r.loop.Post(func() { r.signal(s) })
@@ -431,7 +431,7 @@
 	for _, k := range r.cfg.Parsed.Classes {
 		longest = max(longest, float64(k.Deadline)/1e6)
 	}
-	r.core.Closing(r.loop.Now() + min(longest, patience) + beforeKill)
+	r.core.Closing(max(r.since()+min(longest, patience)+beforeKill, r.loop.Now()))
 }
 
 // drain answers what comes until nothing is open: no other process is in this one's place.
--- a/cmd/windflow/stall.go
+++ b/cmd/windflow/stall.go
@@ -13,7 +13,7 @@
 	beatEvery    = 100.0
 	stalledAfter = 400.0
 	// hearFor is how long a loop that stood still hears, and sends nothing, in milliseconds.
-	hearFor = 40.0
+	hearFor = 100.0
 	// watchEvery is how often the loop is looked at from outside.
 	watchEvery = 250 * time.Millisecond
 	// maxStack bounds the stacks in the log.
@@ -23,10 +23,18 @@
 // stall is what a router keeps for noticing that it stood still.
 type stall struct {
 	beatAt float64      // of the loop
+	stood  float64      // when the last standstill began, and
+	until  float64      // when it ended
 	seen   atomic.Int64 // the same for the watch, in microseconds
 	waking bool         // it hears, and sends nothing
-	conts  atomic.Int64 // SIGCONTs: the process had been stopped by a signal
-	Stalls int64
+
+	stallCounters
+}
+
+// stallCounters count standstills, and the SIGCONTs that tell that the process had been stopped by a signal.
+type stallCounters struct {
+	Stalls    int64
+	Continued atomic.Int64
 }
 
 // beat notices that the loop stood still: the process was stopped, or got no processor. Then clients' queries wait that
@@ -37,8 +45,9 @@
 	late := now - r.beatAt - beatEvery
 	if r.beatAt > 0 && late > stalledAfter && !r.waking && r.core != nil {
 		r.Stalls++
+		r.stood, r.until = r.beatAt, now
 		r.waking = true
-		r.log.Warn("the loop stood still", "ms", int(late), "open", r.core.Open(), "continued", r.conts.Load())
+		r.log.Warn("the loop stood still", "ms", int(late), "open", r.core.Open(), "continued", r.Continued.Load())
 		r.core.Hear(true)
 		wake := func() {
 			r.loop.After(hearFor, func() {
@@ -60,6 +69,16 @@
 	r.loop.After(beatEvery, r.beat)
 }
 
+// since is when what is heard of now may have happened: a signal that is found after a standstill may have come at its
+// beginning, and a kill is due by that time.
+func (r *node) since() float64 {
+	now := r.loop.Now()
+	if r.until > 0 && now-r.until < stalledAfter {
+		return r.stood
+	}
+	return now
+}
+
 // watchLoop logs where the loop stands when it does not go on though the process does.
 func (r *node) watchLoop() {
 	tick := time.NewTicker(watchEvery)
--- a/cmd/windflow/status.go
+++ b/cmd/windflow/status.go
@@ -25,7 +25,7 @@
 		of   any
 	}
 	parts := []part{{"core", &r.core.Counters}, {"mysql", &r.front.Counters}, {"fetch", &r.client.Counters},
-		{"board", &r.board.Counters}}
+		{"board", &r.board.Counters}, {"loop", &r.stallCounters}}
 	if r.flight != nil {
 		parts = append(parts, part{"flightsql", &r.flight.Counters},
 			part{"flightsql_engines", &r.flightClient.Counters})
