--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -187,9 +187,16 @@
 	redial float64       // the next wait; redialLeast while the link is up
 	again  *router.Timer // opens the next link; nil or spent while there is one
 
+	heardAt  float64
 	Counters Counters
 }
 
+// Last is the number of the last event, and HeardAt when the board was heard last, in milliseconds.
+func (f *Follower) Last() uint64 { return f.last }
+
+// HeardAt: see Last.
+func (f *Follower) HeardAt() float64 { return f.heardAt }
+
 // Counters count what the board sent.
 type Counters struct{ Links, Frames, Events, Bad int64 }
 
@@ -280,6 +287,7 @@
 	f := l.f
 	fr, err := parseFrame(body, f.names)
 	f.Counters.Frames++
+	f.heardAt = f.loop.Now()
 	switch {
 	case err != nil:
 		l.bad(err)
--- /dev/null
+++ b/internal/node/config.go
@@ -0,0 +1,235 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"io/fs"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"windflow/brain"
+	"windflow/internal/board"
+	"windflow/internal/decide/takeover"
+	"windflow/internal/fetch"
+	"windflow/internal/mysql"
+	"windflow/internal/settings"
+	"windflow/internal/site"
+)
+
+// patience is how often and at what distance retry tries again: for two seconds in all.
+const (
+	patience = 40
+	pause    = 50 * time.Millisecond
+)
+
+// sleep is replaced by tests.
+var sleep = time.Sleep
+
+// retry calls f until it succeeds, fails for a reason that does not pass by itself, or has had its chances. Two such
+// reasons do: a file that is just being replaced, and an address that the program before this one has not given up yet.
+func retry(f func() error) error {
+	for try := 1; ; try++ {
+		err := f()
+		passes := errors.Is(err, settings.ErrNotJSON) || errors.Is(err, fs.ErrNotExist) || errors.Is(err, syscall.EADDRINUSE)
+		if !passes || try == patience {
+			return err
+		}
+		sleep(pause)
+	}
+}
+
+// readConfig reads the configuration.
+func readConfig(path string) (cfg *settings.Node, err error) {
+	err = retry(func() error {
+		cfg, err = settings.ReadNode(path)
+		return err
+	})
+	if err == nil && cfg.Control == "" {
+		cfg.Control = os.Getenv("PROXY_CONTROL")
+	}
+	return cfg, err
+}
+
+// Check reads a configuration of the platform's as a router would, and tells what can't be used.
+func Check(path string) error {
+	cfg, err := settings.ReadNode(path)
+	if err != nil {
+		return err
+	}
+	if _, _, err := board.ParseKnown(cfg.Known); err != nil {
+		return fmt.Errorf("field known: %w", err)
+	}
+	if _, err := decisionsOf(cfg, cfg.SeedValue); err != nil {
+		return fmt.Errorf("field settings: %w", err)
+	}
+	_, err = boundsOf(cfg, 0)
+	return err
+}
+
+// bounds are those of the configuration, or this process's part of them while another one stands for the same router.
+func (r *node) bounds(cfg *settings.Node) (bounds, error) {
+	b, err := boundsOf(cfg, r.setAside())
+	if s := r.machine.Share(); err == nil && s != takeover.Whole {
+		r.divide(&b, s)
+	}
+	return b, err
+}
+
+// setAside are the descriptors that parts hold.
+func (r *node) setAside() (n int) {
+	for _, p := range r.parts {
+		n += p.descriptors
+	}
+	return n
+}
+
+// bounds are what a configuration gives each part of the program.
+type bounds struct {
+	inbound int // bytes read and not yet handled
+	mysql   mysql.Config
+	fetch   fetch.Config
+}
+
+// boundsOf divides the descriptors; taken are those of parts that the configuration does not name.
+func boundsOf(cfg *settings.Node, taken int) (bounds, error) {
+	sockets := cfg.Limits.Sockets
+	if sockets == 0 {
+		sockets = 1024
+	}
+	kept := min(reserved+starting, sockets/3)
+	memory := cfg.Limits.MemoryMB << 20
+	if memory == 0 {
+		memory = 192 << 20
+	}
+	b := bounds{inbound: min(max(memory/16, 256<<10), 4<<20)}
+	b.mysql = mysql.Config{MaxSessions: int(sessionShare * float64(sockets)), MaxBuffered: memory / 8}
+	b.fetch = fetch.Config{MaxConns: sockets - b.mysql.MaxSessions - kept - taken,
+		ConnectTimeoutMS: float64(cfg.Parsed.Limits.ConnectTimeout) / 1e6,
+		IdleMS:           float64(cfg.Parsed.Limits.ConnIdle) / 1e6}
+	if b.fetch.MaxConns < 16 {
+		return b, fmt.Errorf("field limits.sockets: %d leaves no connections for engines", sockets)
+	}
+	return b, nil
+}
+
+// decisionsOf gives what the module is told. Clients hold at most a third of the descriptors: were most of that taken by
+// queries that are held with little hope, new ones could not even be asked.
+func decisionsOf(cfg *settings.Node, seed uint64) (brain.Config, error) {
+	d, err := cfg.Parsed.Config(seed)
+	d.MaxHeld = int(heldShare * float64(cfg.Limits.Sockets))
+	return d, err
+}
+
+func namesOf(cfg *settings.Node) board.Names {
+	return board.Names{Zones: cfg.Parsed.Zones, Kinds: cfg.Parsed.Kinds}
+}
+
+// limit keeps the runtime within what the deployment gives; two processes of one router have half of the memory each.
+func (r *node) limit() {
+	if cores := r.cfg.Limits.Cores; cores > 0 {
+		runtime.GOMAXPROCS(max(int(cores+0.5), 1))
+	}
+	if memory := r.cfg.Limits.MemoryMB << 20; memory > 0 {
+		if r.machine.Share() != takeover.Whole {
+			memory /= 2
+		}
+		debug.SetMemoryLimit(int64(float64(memory) * memoryShare))
+	}
+}
+
+// apply has the router go by bounds.
+func (r *node) apply(b bounds) {
+	r.net.SetMaxInbound(b.inbound)
+	r.front.Configure(b.mysql)
+	r.client.Configure(b.fetch)
+}
+
+// readSite reads the settings of the installation; without a file every part is off.
+func readSite(path string) (*site.Settings, error) {
+	if path == "" {
+		return &site.Settings{}, nil
+	}
+	var s *site.Settings
+	err := retry(func() (err error) {
+		s, err = site.Read(path)
+		return err
+	})
+	return s, err
+}
+
+// reload reads the files again and hands them to the loop. One that can't be used has nothing changed.
+func (r *node) reload(path string) {
+	cfg, err := readConfig(path)
+	var s *site.Settings
+	if err == nil {
+		s, err = readSite(r.opts.Settings)
+	}
+	r.loop.Post(func() {
+		if err == nil && r.core == nil {
+			r.cfg, r.site = cfg, s // it has nothing yet that goes by others
+		} else if err == nil {
+			err = r.configure(cfg, s)
+		}
+		if err != nil {
+			r.log.Error("reload refused", "file", path, "err", err)
+		}
+	})
+}
+
+// configure puts other settings in force, whole or, where they can't be used, not at all. Open requests, sessions and
+// connections are not touched. What can't change while running keeps its value, and the log names it.
+func (r *node) configure(cfg *settings.Node, s *site.Settings) error {
+	decisions, err := decisionsOf(cfg, r.cfg.SeedValue)
+	if err != nil {
+		return fmt.Errorf("field settings: %w", err)
+	}
+	b, err := r.bounds(cfg)
+	if err != nil {
+		return err
+	}
+	kept, err := r.core.Configure(decisions)
+	if err != nil {
+		return fmt.Errorf("field settings: %w", err)
+	}
+	for _, f := range []struct {
+		name    string
+		old     string
+		changed *string
+	}{{"name", r.cfg.Name, &cfg.Name}, {"listen", r.cfg.Listen, &cfg.Listen}, {"control", r.cfg.Control, &cfg.Control}} {
+		if f.old != *f.changed {
+			kept, *f.changed = append(kept, f.name), f.old
+		}
+	}
+	kept = append(kept, sectionsKept(r.site, s)...)
+	r.apply(b)
+	for _, p := range r.parts {
+		if p.configure != nil {
+			kept = append(kept, p.configure(s, b)...)
+		}
+	}
+	r.board.Configure(cfg.Board, namesOf(cfg))
+	r.cfg, r.site = cfg, s
+	r.limit()
+	r.log.Info("reloaded", "board", cfg.Board, "sockets", cfg.Limits.Sockets, "memory_mb", cfg.Limits.MemoryMB)
+	if len(kept) > 0 {
+		r.log.Warn("unchanged until a restart", "fields", kept)
+	}
+	return nil
+}
+
+// sectionsKept gives the sections that came or went: a part is made at the start only. What was in force stays.
+func sectionsKept(old, now *site.Settings) (kept []string) {
+	if (old.FlightSQL == nil) != (now.FlightSQL == nil) {
+		kept, now.FlightSQL = append(kept, "/flightsql"), old.FlightSQL
+	}
+	if (old.BGP == nil) != (now.BGP == nil) {
+		kept, now.BGP = append(kept, "/bgp"), old.BGP
+	}
+	if (old.Records == nil) != (now.Records == nil) {
+		kept, now.Records = append(kept, "/records"), old.Records
+	}
+	return kept
+}
--- a/cmd/windflow/operators.go
+++ b/internal/node/door.go
@@ -1,4 +1,4 @@
-package main
+package node
 
 import (
 	"errors"
@@ -12,8 +12,12 @@
 	"windflow/internal/decide/takeover"
 )
 
-// openDoor has operators heard on a listener.
+// openDoor has operators heard on a listener, for the first time or again.
 func (r *node) openDoor(lis net.Listener) {
+	if r.door != nil {
+		r.door.Reopen(lis)
+		return
+	}
 	r.door = control.Open(r.loop, r.net, lis, r, r.log)
 	r.log.Info("operators' door", "control", r.door.Addr())
 }
--- /dev/null
+++ b/internal/node/node.go
@@ -0,0 +1,290 @@
+// Package node is a running router: it wires the parts together, hears signals, and goes from its start to its end. A
+// subsystem adds itself in one place, as a part (part.go).
+package node
+
+import (
+	"errors"
+	"fmt"
+	"log/slog"
+	"maps"
+	"os"
+	"os/signal"
+	"slices"
+	"sync"
+	"syscall"
+
+	"windflow/internal/board"
+	"windflow/internal/clock"
+	"windflow/internal/control"
+	"windflow/internal/decide/takeover"
+	"windflow/internal/fetch"
+	"windflow/internal/mysql"
+	"windflow/internal/netio"
+	"windflow/internal/router"
+	"windflow/internal/settings"
+	"windflow/internal/site"
+)
+
+const (
+	// memoryShare is the share of the memory limit that the runtime is told to keep within: stacks, the
+	// poller's buffers and the kernel's view of freed pages need the rest.
+	memoryShare = 0.7
+	// sessionShare is the share of the descriptors that client sessions may hold; clients use up to a third.
+	sessionShare = 0.4
+	// heldShare is the number of requests against the descriptors that may be held at once; see decisionsOf.
+	heldShare = 1.0 / 12
+	// reserved descriptors are for the listeners, the board, the log, the poller, operators, and connections that stand
+	// twice for a moment while they pass from the system's dialer to the poller; a third of them all where they are few.
+	reserved = 64
+	// starting descriptors are left for a successor, which needs them before the two have met; they count together.
+	starting = 40
+	// graceMS is how long after SIGTERM requests may still come, in milliseconds; PROTOCOL says 600.
+	graceMS = 1000.0
+	// After SIGTERM a kill comes no sooner than the longest deadline, counted as patienceAlone at most, or in an upgrade
+	// as patienceUpgrade, and 700 ms. What is open is answered beforeKill after that deadline: before the kill does.
+	patienceAlone   = 3000.0
+	patienceUpgrade = 5000.0
+	beforeKill      = 450.0
+	// quietMS is how long nothing may have been open before the program ends after SIGTERM.
+	quietMS = 200.0
+)
+
+// Options are what the command line says.
+type Options struct {
+	Settings string // file of the installation's settings; empty for none
+	Debug    bool   // log each attempt that does not end well
+	JSON     bool   // log as JSON
+}
+
+// logger is the program's.
+func (o Options) logger() *slog.Logger {
+	level := slog.LevelInfo
+	if o.Debug {
+		level = slog.LevelDebug
+	}
+	how := &slog.HandlerOptions{Level: level}
+	if o.JSON {
+		return slog.New(slog.NewJSONHandler(os.Stderr, how))
+	}
+	return slog.New(slog.NewTextHandler(os.Stderr, how))
+}
+
+// Run is a router from its start to its end. The platform's configuration is the file that PROXY_CONFIG names. An error
+// is one line for each fault, which names the file and the field.
+func Run(opts Options) error {
+	path := os.Getenv("PROXY_CONFIG")
+	if path == "" {
+		return errors.New("PROXY_CONFIG: the path of the configuration is not set")
+	}
+	// Heard from the first on: a signal that comes before the router is ready waits, where its default would end it.
+	signals := make(chan os.Signal, 16)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGCONT)
+	cfg, err := readConfig(path)
+	if err != nil {
+		return fmt.Errorf("%s: %w", path, err)
+	}
+	own, err := readSite(opts.Settings)
+	if err != nil {
+		return err
+	}
+	r := newNode(cfg, own, opts, opts.logger().With("name", cfg.Name))
+	r.begin(true)
+	go func() {
+		for s := range signals {
+			switch s {
+			case syscall.SIGHUP:
+				r.reload(path) // reads the files here: the loop may not wait for a disk
+				continue
+			case syscall.SIGCONT:
+				r.Continued.Add(1)
+				continue
+			}
+			r.loop.Post(func() { r.signal(s) })
+		}
+	}()
+	r.loop.Run(r.stop)
+	if r.core != nil {
+		r.printCounters("counters at exit")
+	}
+	r.close()
+	if r.failed != nil {
+		return fmt.Errorf("%s: %w", path, r.failed)
+	}
+	return nil
+}
+
+// node is the running program; all of it belongs to the loop's goroutine.
+type node struct {
+	log       *slog.Logger
+	cfg       *settings.Node // in force
+	site      *site.Settings // in force
+	opts      Options
+	parts     []*part // that are on
+	clients   *router.ByKind
+	loop      *router.Loop
+	net       *netio.Net
+	core      *router.Core
+	client    *fetch.Client
+	front     *mysql.Front
+	board     *board.Follower
+	door      *control.Door // nil unless turned on
+	stop      chan struct{}
+	stopping  sync.Once
+	failed    error // why it can't serve
+	busyAt    float64
+	clientsAt string          // where clients connect
+	listening *netio.Listener // for them; nil while this process does not accept
+	records   records
+	upgrade
+	stall
+}
+
+// newNode returns a router that has nothing yet.
+func newNode(cfg *settings.Node, own *site.Settings, opts Options, log *slog.Logger) *node {
+	r := &node{log: log, cfg: cfg, site: own, opts: opts, loop: router.NewLoop(clock.NewSystem()), stop: make(chan struct{})}
+	if own.Records != nil {
+		r.log = r.records.tee(log, r.loop.Now)
+	}
+	return r
+}
+
+// start wires the parts of a router that takes over from none and is found by none; the caller runs the loop.
+func start(cfg *settings.Node, own *site.Settings, log *slog.Logger) (*node, error) {
+	r := newNode(cfg, own, Options{}, log)
+	r.begin(false)
+	return r, r.failed
+}
+
+// build wires the parts together. They accept no clients yet; operators are heard.
+func (r *node) build() error {
+	cfg, log := r.cfg, r.log
+	known, last, err := board.ParseKnown(cfg.Known)
+	if err != nil {
+		return fmt.Errorf("field known: %w", err)
+	}
+	decisions, err := decisionsOf(cfg, cfg.SeedValue)
+	if err != nil {
+		return fmt.Errorf("field settings: %w", err)
+	}
+	for _, make := range makers {
+		if p := make(r); p != nil {
+			r.parts = append(r.parts, p)
+		}
+	}
+	b, err := r.bounds(cfg)
+	if err != nil {
+		return err
+	}
+	r.clients = &router.ByKind{}
+	core, err := router.New(r.loop, decisions, r.clients, log)
+	if err != nil {
+		return fmt.Errorf("field settings: %w", err)
+	}
+	core.Claim = r.claimID
+	core.Ids = func(n router.IDChange) { r.tell(msgID, n) }
+	r.front = mysql.NewFront(core, r.loop, b.mysql, r.status, log)
+	r.front.SetGeneration(r.generation)
+	r.front.Elsewhere = r.kill
+	if r.net, err = netio.New(r.loop, "", nil, log); err != nil {
+		return err
+	}
+	r.net.SetMaxInbound(b.inbound)
+	r.client = fetch.New(r.loop, r.net, b.fetch, log)
+	r.clients.Other = r.client
+	r.core = core
+	for _, p := range r.parts {
+		if p.start == nil {
+			continue
+		}
+		if err := p.start(b); err != nil {
+			return fmt.Errorf("/%s: %w", p.name, err)
+		}
+	}
+	for _, l := range r.listeners() {
+		if err := r.provide(l); err != nil {
+			return err
+		}
+	}
+	// The poller is up and may have posted connections; they are handled when the loop runs, after this.
+	core.Engines(known.Events, known.Addrs)
+	core.Adopt(slices.Sorted(maps.Keys(r.out)))
+	r.board = board.Follow(r.loop, r.net, cfg.Board, namesOf(cfg), last,
+		func(l board.List) { core.Engines(l.Events, l.Addrs) }, log)
+	r.limit()
+	return nil
+}
+
+func (r *node) close() {
+	r.closeUpgrade()
+	for _, p := range r.parts {
+		if p.stop != nil {
+			p.stop()
+		}
+	}
+	if r.net != nil {
+		r.net.Stop()
+	}
+}
+
+func (r *node) signal(s os.Signal) {
+	if s == syscall.SIGUSR1 {
+		if r.core != nil {
+			r.printCounters("counters")
+		}
+		return
+	}
+	r.step(takeover.Event{Kind: takeover.Stop})
+}
+
+// closeBy tells what is open when the process ends at the latest.
+func (r *node) closeBy(patience float64) {
+	if r.closing {
+		return
+	}
+	r.closing = true
+	longest := 0.0
+	for _, k := range r.cfg.Parsed.Classes {
+		longest = max(longest, float64(k.Deadline)/1e6)
+	}
+	r.core.Closing(max(r.since()+min(longest, patience)+beforeKill, r.loop.Now()))
+}
+
+// busy tells whether anything is open.
+func (r *node) busy() bool {
+	return r.core.Open() > 0 || slices.ContainsFunc(r.parts, func(p *part) bool { return p.busy != nil && p.busy() })
+}
+
+// drain answers what comes until nothing is open: no other process is in this one's place.
+func (r *node) drain() {
+	r.log.Info("draining", "open", r.core.Open())
+	r.leaving = false
+	patience := patienceAlone
+	if r.machine.Elder() != takeover.None || r.machine.Newer() != takeover.None {
+		patience = patienceUpgrade
+	}
+	r.closeBy(patience)
+	for _, p := range r.parts {
+		if p.drain != nil {
+			p.drain()
+		}
+	}
+	r.busyAt = r.loop.Now()
+	r.loop.After(graceMS, r.drained)
+}
+
+// drained ends the program once nothing has been open for a while. Until then it goes on accepting and
+// answering: what has come in whole on an accepted connection is taken, whenever it came.
+func (r *node) drained() {
+	if r.machine.Phase() != takeover.Draining {
+		return // another process accepts now
+	}
+	now := r.loop.Now()
+	if r.busy() || r.front.Busy() {
+		r.busyAt = now
+	}
+	if now-r.busyAt >= quietMS {
+		r.step(takeover.Event{Kind: takeover.Quiet})
+		return
+	}
+	r.loop.After(20, r.drained)
+}
--- /dev/null
+++ b/internal/node/part_bgp.go
@@ -0,0 +1,65 @@
+package node
+
+import (
+	"os"
+	"slices"
+
+	"windflow/internal/bgp"
+	"windflow/internal/decide/takeover"
+	"windflow/internal/handover"
+	"windflow/internal/site"
+)
+
+const msgBGP = "bgp" // bgp.Handed
+
+// bgpPart announces the service addresses. In an upgrade its session goes over open, so that nothing is withdrawn.
+func bgpPart(r *node) *part {
+	if r.site.BGP == nil {
+		return nil
+	}
+	var s *bgp.Speaker
+	return &part{
+		name:      "bgp",
+		handsOver: true,
+		start: func(bounds) error {
+			// An elder that hangs may have a session; the neighbour would take a second one for a collision.
+			if r.machine.Elder() != takeover.None && (r.machine.Phase() == takeover.Guarded || slices.Contains(r.handed.Parts, "bgp")) {
+				s = bgp.Await(r.loop, r.net, *r.site.BGP, r.log)
+			} else {
+				s = bgp.Start(r.loop, r.net, *r.site.BGP, r.log)
+			}
+			s.Announce()
+			return nil
+		},
+		configure: func(now *site.Settings, _ bounds) []string {
+			s.Configure(*now.BGP)
+			return nil
+		},
+		counters: func() []counted { return []counted{{"bgp", &s.Counters}} },
+		drain:    func() { s.Withdraw() }, // first of all, so that new clients go elsewhere
+		leave: func(to *handover.Link) {
+			s.HandOver(func(h bgp.Handed, f *os.File) {
+				if f == nil {
+					to.Send(handover.New(msgBGP, h))
+					return
+				}
+				to.Send(handover.New(msgBGP, h, f))
+				_ = f.Close()
+			})
+		},
+		end:   func() { s.Stop() },
+		alone: func() { s.Adopt(r.net, bgp.Handed{}, nil) }, // connects, if it waited for the old process's session
+		hear: map[string]func(*handover.Link, *handover.Message) error{
+			msgBGP: func(_ *handover.Link, m *handover.Message) error {
+				var h bgp.Handed
+				err := m.Read(&h)
+				var f *os.File
+				if len(m.Files) > 0 {
+					f, m.Files = m.Files[0], m.Files[1:]
+				}
+				s.Adopt(r.net, h, f)
+				return err
+			},
+		},
+	}
+}
--- /dev/null
+++ b/internal/node/part_record.go
@@ -0,0 +1,222 @@
+package node
+
+import (
+	"log/slog"
+	"runtime/debug"
+	"sync/atomic"
+
+	"windflow/brain"
+	"windflow/internal/board"
+	"windflow/internal/clock"
+	"windflow/internal/record"
+	"windflow/internal/router"
+	"windflow/internal/site"
+)
+
+const (
+	// lookEvery is how often the module is asked for its view of engines, in milliseconds, and secondEvery how often what
+	// was counted is written.
+	lookEvery   = 250.0
+	secondEvery = 1000.0
+)
+
+// recorder is the part that writes records.
+type recorder struct {
+	r       *node
+	w       *record.Writer
+	meter   *record.Meter
+	view    brain.View
+	states  map[brain.EngineID]record.State
+	seen    map[brain.EngineID]bool
+	takenAt float64
+	samples int // left in this second
+	most    int
+	turned  int64
+	spoilt  int64
+}
+
+// recordPart writes records of what the router sees and does.
+func recordPart(r *node) *part {
+	cfg := r.site.Records
+	if cfg == nil {
+		return nil
+	}
+	c := &recorder{r: r, states: map[brain.EngineID]record.State{}, seen: map[brain.EngineID]bool{}, most: cfg.Samples}
+	c.meter = record.NewMeter(func(id uint64) string { return board.FormatID(brain.EngineID(id)) })
+	return &part{
+		name:        "records",
+		descriptors: 2, // a segment, and the folder while it is swept
+		start: func(bounds) error {
+			program := "windflow"
+			if info, ok := debug.ReadBuildInfo(); ok {
+				program += " " + info.Main.Version
+			}
+			now := r.loop.Now
+			plain := r.log // what the writer has to say of its disk can't go to that disk
+			c.w = record.Start(*cfg, record.Header{Router: r.cfg.Name, Place: uint64(r.machine.Self),
+				Process: record.ProcessName(now()), Program: program}, now, func(err error) {
+				if err != nil {
+					plain.Error("records can't be written; serving goes on", "dir", cfg.Dir, "err", err)
+				} else {
+					plain.Info("records are written again", "dir", cfg.Dir)
+				}
+			})
+			r.records.put.Store(&c.w)
+			r.core.Watch = c
+			c.takenAt, c.samples = now(), c.most
+			c.look()
+			return nil
+		},
+		configure: func(s *site.Settings, _ bounds) (kept []string) {
+			if s.Records.Dir != cfg.Dir {
+				kept, s.Records.Dir = append(kept, "/records/dir"), cfg.Dir
+			}
+			c.most = s.Records.Samples
+			c.w.Configure(*s.Records)
+			return kept
+		},
+		counters: func() []counted { return []counted{{"records", &c.w.Counters}} },
+		stop: func() {
+			if c.w != nil {
+				c.second()
+				r.records.put.Store(nil)
+				c.w.Stop()
+			}
+		},
+	}
+}
+
+// records joins the log to the records, once there is a writer.
+type records struct {
+	put atomic.Pointer[*record.Writer]
+}
+
+// tee has the log's lines recorded, where records are on.
+func (r *records) tee(log *slog.Logger, now func() float64) *slog.Logger {
+	return slog.New(record.Tee(log.Handler(), now, func(e *record.Event) {
+		if w := r.put.Load(); w != nil {
+			(*w).Put(e)
+		}
+	}))
+}
+
+// look writes how engines' states changed.
+func (c *recorder) look() {
+	now := c.r.loop.Now()
+	c.r.core.See(&c.view)
+	clear(c.seen)
+	for i := range c.view.Engines {
+		e := &c.view.Engines[i]
+		c.seen[e.ID] = true
+		if state := stateOf(e); state != c.states[e.ID] {
+			c.change(now, e, state)
+		}
+		c.meter.Running(uint64(e.ID), e.Running, e.Threads)
+	}
+	for id := range c.states {
+		if !c.seen[id] {
+			c.change(now, &brain.EngineView{ID: id}, record.Gone)
+			delete(c.states, id)
+			c.meter.Forget(uint64(id))
+		}
+	}
+	if now-c.takenAt >= secondEvery {
+		c.second()
+	}
+	c.r.loop.After(lookEvery, c.look)
+}
+
+func (c *recorder) change(now float64, e *brain.EngineView, state record.State) {
+	r := &record.Engine{At: now, ID: board.FormatID(e.ID), State: state, Was: c.states[e.ID], Slow: e.Slow, Fail: e.Fail,
+		Lost: e.Lost, Zone: e.Zone, Kind: e.Kind}
+	if state == record.Cold {
+		r.WarmAt = clock.Millis(e.WarmAt)
+	}
+	if c.r.board != nil {
+		r.Event = c.r.board.Last()
+	}
+	c.states[e.ID] = state
+	c.w.Put(r)
+}
+
+// slowAt is from where on an engine counts as slow against its peers.
+const slowAt = 1.5
+
+func stateOf(e *brain.EngineView) record.State {
+	switch {
+	case e.Excluded:
+		return record.Out
+	case e.State == brain.Draining:
+		return record.Draining
+	case e.Down:
+		return record.Down
+	case e.Failing:
+		return record.Failing
+	case e.Cold:
+		return record.Cold
+	case e.Slow >= slowAt:
+		return record.Slow
+	}
+	return record.Warm
+}
+
+// second writes what was counted since it did so last.
+func (c *recorder) second() {
+	now := c.r.loop.Now()
+	s := &record.Second{At: now, ForMS: now - c.takenAt, Open: c.r.core.Open(), Held: c.view.Held, Jam: c.view.Jam,
+		Conns: c.r.client.Conns(), Session: c.r.front.Sessions()}
+	s.Rows, s.Engines = c.meter.Take()
+	turned, spoilt := c.r.front.Counters.TurnedAway+c.r.front.Counters.Evicted, c.r.client.Counters.BadAnswers
+	s.Turned, s.Spoilt = turned-c.turned, spoilt-c.spoilt
+	c.turned, c.spoilt = turned, spoilt
+	if b := c.r.board; b != nil {
+		s.Event, s.BoardMS = b.Last(), now-b.HeardAt()
+	}
+	c.takenAt, c.samples = now, c.most
+	c.w.Put(s)
+}
+
+// Arrived implements router.Watcher.
+func (c *recorder) Arrived(q *router.Request) {
+	c.meter.Arrived(q.Class, q.Tenant, q.Again, q.EstimateMS)
+}
+
+// Answered implements router.Watcher.
+func (c *recorder) Answered(q *router.Request, what router.Answer) {
+	how := record.Failed
+	switch what.Kind {
+	case router.AnswerServed:
+		if how = record.InAim; what.TookMS > what.AimMS {
+			how = record.LateServed
+		}
+	case router.AnswerRefused:
+		how = record.Refused
+	case router.AnswerLeft:
+		how = record.Left
+	}
+	c.meter.Answer(q.Class, q.Tenant, how, what.TookMS)
+	if (how == record.Refused || how == record.Failed) && c.samples > 0 {
+		c.samples--
+		a := &record.Answer{At: c.r.loop.Now(), ID: q.ID, Class: q.Class, Tenant: q.Tenant, Refused: how == record.Refused,
+			Reason: what.Reason, AfterMS: what.TookMS}
+		if what.Engine != 0 {
+			a.Engine = board.FormatID(what.Engine)
+		}
+		c.w.Put(a)
+	}
+}
+
+// Sent implements router.Watcher.
+func (c *recorder) Sent(e brain.EngineID) { c.meter.Sent(uint64(e)) }
+
+var ends = map[brain.Outcome]record.End{brain.Served: record.EndServed, brain.Full: record.EndFull, brain.Errored: record.EndErrored,
+	brain.ConnectFailed: record.EndBroken, brain.Reset: record.EndBroken, brain.TimedOut: record.EndSilent}
+
+// Ended implements router.Watcher.
+func (c *recorder) Ended(e brain.EngineID, outcome brain.Outcome, tookMS float64) {
+	how, ok := ends[outcome]
+	if !ok {
+		how = record.EndOther
+	}
+	c.meter.Ended(uint64(e), how, tookMS)
+}
--- /dev/null
+++ b/internal/node/record_test.go
@@ -0,0 +1,160 @@
+package node
+
+import (
+	"fmt"
+	"log/slog"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"windflow/brain"
+	"windflow/internal/record"
+	"windflow/internal/router"
+	"windflow/internal/settings"
+	"windflow/internal/site"
+)
+
+// A router with records on writes what it saw: the engines' states, the requests by class and tenant, the log's lines, and
+// never a statement.
+func TestRecordsOfARouter(t *testing.T) {
+	one, two := newSlowEngine(), newSlowEngine()
+	f := newFleet(t, one, two)
+	dir := filepath.Join(t.TempDir(), "records")
+	own := filepath.Join(t.TempDir(), "windflow.json")
+	if err := os.WriteFile(own, []byte(fmt.Sprintf(`{"records": {"dir": %q}}`, dir)), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	f.env = append(f.env, "WINDFLOW_TEST_ROUTER=settings="+own)
+	door := freePort(t)
+	p := f.start(door)
+	f.ready(door)
+	c := f.client()
+	for id := range 50 {
+		if rows, code, err := c.ask(query("lookup", id+1, "SELECT secret_name FROM donors_1.t")); rows != 1 || code != 0 || err != nil {
+			t.Fatal(rows, code, err)
+		}
+	}
+	if f.call("POST", door, "/api/exclude/s-00000002") != 200 {
+		t.Fatal("the ban was not taken")
+	}
+	_ = c.c.Close()
+	f.end(p)
+	files, err := record.Files(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	served, out, events := 0, 0, map[string]int{}
+	var head record.Header
+	read, err := record.Read(files, func(h *record.Header, r record.Record) error {
+		head = *h
+		switch r := r.(type) {
+		case *record.Second:
+			for _, row := range r.Rows {
+				served += row.InAim + row.Late
+			}
+		case *record.Engine:
+			if r.State == record.Out && r.ID == "s-00000002" {
+				out++
+			}
+		case *record.Event:
+			events[r.Name]++
+		}
+		return nil
+	})
+	if err != nil || read[0].Err != nil || len(read[0].Damage) > 0 {
+		t.Fatal(err, read)
+	}
+	if served != 50 || out != 1 || events["ready"] != 1 || events["draining"] != 1 || events["operator's call"] != 1 {
+		t.Errorf("%d served, out %d times, events %v", served, out, events)
+	}
+	if head.Router != "n0" || head.Place == 0 || head.WallMS == 0 {
+		t.Errorf("%+v", head)
+	}
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil || strings.Contains(string(text), "secret_name") || strings.Contains(string(text), "donors") {
+			t.Error("a statement's text is in the records", err)
+		}
+	}
+}
+
+// BenchmarkRecords is a request through a router without and with records: from the core's taking it in to its answer,
+// over an engine on loopback.
+func BenchmarkRecords(b *testing.B) {
+	for _, on := range []bool{false, true} {
+		b.Run(map[bool]string{false: "off", true: "on"}[on], func(b *testing.B) {
+			own := &site.Settings{}
+			if on {
+				cfg := record.Defaults
+				cfg.Dir = b.TempDir()
+				own.Records = &cfg
+			}
+			cfg, err := settings.ParseNode([]byte(fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","seed":"1f",
+				"limits":{"cores":1,"memory_mb":192,"sockets":1024},"board":"127.0.0.1:1","known":{"rev":1,"notices":[]},"settings":%s}`, mixedSettings)))
+			if err != nil {
+				b.Fatal(err)
+			}
+			r, err := start(cfg, own, slog.New(slog.DiscardHandler))
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer r.close()
+			b.ReportAllocs()
+			for b.Loop() {
+				benchRequest(b, r)
+			}
+		})
+	}
+}
+
+// instant answers each attempt at once.
+type instant struct{ loop *router.Loop }
+
+func (c instant) Start(_ router.Call, done func(router.End)) router.Attempt {
+	c.loop.Post(func() { done(router.End{Outcome: brain.Served, Result: &router.Result{WorkMS: 1}}) })
+	return c
+}
+func (instant) SetPriority(int)        {}
+func (instant) Cancel()                {}
+func (instant) Drop()                  {}
+func (instant) Forget(router.Engine)   {}
+func (instant) Withhold(router.Engine) {}
+
+type answered struct{ n int }
+
+func (a *answered) Served(*router.Result) { a.n++ }
+func (a *answered) Refused(float64)       { a.n++ }
+func (a *answered) Failed(router.Reason)  { a.n++ }
+
+var benchSeq int
+
+func benchRequest(b *testing.B, r *node) {
+	if r.clients.Other != router.EngineClient(instant{r.loop}) {
+		r.clients.Other = instant{r.loop}
+		list := brain.EngineList{Mode: brain.ListFull}
+		addrs := map[brain.EngineID]string{}
+		for id := brain.EngineID(1); id <= 8; id++ {
+			list.Engines = append(list.Engines, brain.Engine{ID: id, Zone: "a", Kind: "std", Size: 1})
+			addrs[id] = "127.0.0.1:1"
+		}
+		r.core.Engines(list, addrs)
+		r.loop.Post(func() {})
+		r.loop.Step()
+	}
+	benchSeq++
+	a := &answered{}
+	now := r.loop.Now()
+	_, err := r.core.Submit(&router.Request{ID: fmt.Sprintf("%016x", benchSeq), Class: "lookup", Statement: "SELECT 1", Sent: now,
+		Budget: 5000, EstimateMS: 1}, a)
+	if err != nil {
+		b.Fatal(err)
+	}
+	r.loop.Post(func() {})
+	for range 100 {
+		if r.loop.Step(); a.n > 0 {
+			return
+		}
+	}
+	b.Fatal("no answer")
+}
--- a/cmd/windflow/status.go
+++ b/internal/node/status.go
@@ -1,4 +1,4 @@
-package main
+package node
 
 import (
 	"log/slog"
@@ -20,21 +20,15 @@
 		{"core.open", strconv.Itoa(r.core.Open())},
 		{"fetch.connections", strconv.Itoa(r.client.Conns())},
 	}
-	type part struct {
-		name string
-		of   any
-	}
-	parts := []part{{"core", &r.core.Counters}, {"mysql", &r.front.Counters}, {"fetch", &r.client.Counters},
+	parts := []counted{{"core", &r.core.Counters}, {"mysql", &r.front.Counters}, {"fetch", &r.client.Counters},
 		{"board", &r.board.Counters}, {"loop", &r.stallCounters}}
-	if r.flight != nil {
-		parts = append(parts, part{"flightsql", &r.flight.Counters},
-			part{"flightsql_engines", &r.flightClient.Counters})
+	for _, p := range r.parts {
+		if p.counters != nil {
+			parts = append(parts, p.counters()...)
+		}
 	}
 	if r.door != nil {
-		parts = append(parts, part{"control", &r.door.Counters})
-	}
-	if r.bgp != nil {
-		parts = append(parts, part{"bgp", &r.bgp.Counters})
+		parts = append(parts, counted{"control", &r.door.Counters})
 	}
 	for _, p := range parts {
 		v := reflect.ValueOf(p.of).Elem()
--- a/cmd/windflow/steps_test.go
+++ b/internal/node/steps_test.go
@@ -1,4 +1,4 @@
-package main
+package node
 
 import (
 	"fmt"
--- /dev/null
+++ b/internal/record/types.go
@@ -0,0 +1,176 @@
+// Package record keeps what a router saw and did, for the console and the incident report: typed records in segment files.
+// It never holds a statement's text, which may name donors; ids are those on the wire.
+//
+// A segment is a run of frames, length:4 sum:4 kind:1 payload, big-endian; length counts kind and payload, sum is their
+// CRC-32C (Castagnoli), and the payload is CBOR (RFC 8949) with whole numbers for keys. The first frame is a Header. A
+// segment that a kill cut off anywhere reads up to its last whole frame; docs/design/records.md has the options weighed.
+package record
+
+// Version of the format. A reader passes over segments of a newer one, and says so; a field may be added without a new
+// version, since readers ignore keys that they don't know.
+const Version = 1
+
+// Kind is that of a record.
+type Kind uint8
+
+// Kinds of record.
+const (
+	KindHeader Kind = 1 + iota
+	KindEngine
+	KindSecond
+	KindAnswer
+	KindEvent
+	KindGap
+)
+
+// Header begins each segment. Times of all records are on the router's clock, in milliseconds since the Unix epoch as that
+// clock took it at the process's start; it never steps. WallMS is the system's clock at the same moment, which may.
+type Header struct {
+	Version int     `cbor:"1,keyasint"`
+	Router  string  `cbor:"2,keyasint"`
+	Place   uint64  `cbor:"3,keyasint"` // of the process among those of the router, in the order of their starts
+	Process string  `cbor:"4,keyasint"` // unlike any other process's
+	Program string  `cbor:"5,keyasint"`
+	Segment uint64  `cbor:"6,keyasint"` // from 0 in each process
+	ClockMS float64 `cbor:"7,keyasint"`
+	WallMS  float64 `cbor:"8,keyasint"`
+}
+
+// State is an engine's, as the module sees it.
+type State uint8
+
+// States. An engine is in the first that holds, from the end: gone before out by hand before down, and so on.
+const (
+	Unknown  State = iota
+	Warm           // listed, and like its peers
+	Cold           // listed, and started not long ago
+	Slow           // its answers take much longer than its peers'
+	Failing        // many of its attempts fail
+	Down           // several attempts in a row met no connection, or lost it
+	Draining       // the board says so
+	Out            // by hand
+	Gone           // the board says so, or lists it no more
+)
+
+var stateNames = [...]string{"unknown", "warm", "cold", "slow", "failing", "down", "draining", "out by hand", "gone"}
+
+func (s State) String() string {
+	if int(s) < len(stateNames) {
+		return stateNames[s]
+	}
+	return "unknown"
+}
+
+// Engine is a change of an engine's state, with what caused it.
+type Engine struct {
+	At     float64 `cbor:"1,keyasint"`
+	ID     string  `cbor:"2,keyasint"`
+	State  State   `cbor:"3,keyasint"`
+	Was    State   `cbor:"4,keyasint"`
+	Slow   float64 `cbor:"5,keyasint,omitempty"` // its times over its peers'
+	Fail   float64 `cbor:"6,keyasint,omitempty"` // share of late attempts that failed
+	Lost   int     `cbor:"7,keyasint,omitempty"` // connections lost or not had, in a row
+	WarmAt float64 `cbor:"8,keyasint,omitempty"` // when it is to be warm
+	Zone   string  `cbor:"9,keyasint,omitempty"`
+	Kind   string  `cbor:"10,keyasint,omitempty"`
+	Event  uint64  `cbor:"11,keyasint,omitempty"` // the board's last event
+}
+
+// Second is what happened in the second, or so, before At.
+type Second struct {
+	At      float64     `cbor:"1,keyasint"`
+	ForMS   float64     `cbor:"2,keyasint"`
+	Rows    []Row       `cbor:"3,keyasint,omitempty"`
+	Engines []EngineRow `cbor:"4,keyasint,omitempty"`
+	Open    int         `cbor:"5,keyasint,omitempty"`  // requests now
+	Held    int         `cbor:"6,keyasint,omitempty"`  // of them not sent
+	Jam     float64     `cbor:"7,keyasint,omitempty"`  // 0 for none to 1
+	Conns   int         `cbor:"8,keyasint,omitempty"`  // to engines
+	Session int         `cbor:"9,keyasint,omitempty"`  // of clients
+	Turned  int64       `cbor:"10,keyasint,omitempty"` // sessions turned away or made room
+	Spoilt  int64       `cbor:"11,keyasint,omitempty"` // answers of engines that can't be used
+	Event   uint64      `cbor:"12,keyasint,omitempty"` // the board's last event
+	BoardMS float64     `cbor:"13,keyasint,omitempty"` // since the board was heard
+}
+
+// Row is a class and tenant in a second. Times are from a request's arrival to its answer.
+type Row struct {
+	Class   string  `cbor:"1,keyasint"`
+	Tenant  string  `cbor:"2,keyasint,omitempty"`
+	Arrived int     `cbor:"3,keyasint,omitempty"`
+	Again   int     `cbor:"4,keyasint,omitempty"` // of them clients' retries
+	InAim   int     `cbor:"5,keyasint,omitempty"` // served in the class's aim
+	Late    int     `cbor:"6,keyasint,omitempty"` // served after it
+	Refused int     `cbor:"7,keyasint,omitempty"`
+	Failed  int     `cbor:"8,keyasint,omitempty"`
+	Left    int     `cbor:"9,keyasint,omitempty"`  // the client went
+	WorkMS  float64 `cbor:"10,keyasint,omitempty"` // the arrivals' estimates
+	P50     float64 `cbor:"11,keyasint,omitempty"`
+	P99     float64 `cbor:"12,keyasint,omitempty"`
+}
+
+// EngineRow is an engine in a second.
+type EngineRow struct {
+	ID      string  `cbor:"1,keyasint"`
+	Sent    int     `cbor:"2,keyasint,omitempty"`
+	Served  int     `cbor:"3,keyasint,omitempty"`
+	Full    int     `cbor:"4,keyasint,omitempty"`
+	Errored int     `cbor:"5,keyasint,omitempty"`
+	Broken  int     `cbor:"6,keyasint,omitempty"`  // no connection, or lost
+	Silent  int     `cbor:"7,keyasint,omitempty"`  // no answer in time
+	Running int     `cbor:"8,keyasint,omitempty"`  // own, now
+	Threads float64 `cbor:"9,keyasint,omitempty"`  // theirs
+	P50     float64 `cbor:"10,keyasint,omitempty"` // of attempts that were served
+	P99     float64 `cbor:"11,keyasint,omitempty"`
+}
+
+// Answer is a refusal or a failure. Beyond some a second they are counted in Row only.
+type Answer struct {
+	At      float64 `cbor:"1,keyasint"`
+	ID      string  `cbor:"2,keyasint"`
+	Class   string  `cbor:"3,keyasint"`
+	Tenant  string  `cbor:"4,keyasint,omitempty"`
+	Refused bool    `cbor:"5,keyasint,omitempty"`
+	Reason  string  `cbor:"6,keyasint"`
+	Engine  string  `cbor:"7,keyasint,omitempty"` // of the last attempt
+	AfterMS float64 `cbor:"8,keyasint"`
+}
+
+// Event is something else that happened: a reload, a phase of a takeover, a link to the board, an operator's word.
+type Event struct {
+	At     float64           `cbor:"1,keyasint"`
+	Name   string            `cbor:"2,keyasint"`
+	Fields map[string]string `cbor:"3,keyasint,omitempty"`
+}
+
+// Gap says that records were dropped, since the queue was full or the disk could not be written.
+type Gap struct {
+	At      float64 `cbor:"1,keyasint"`
+	From    float64 `cbor:"2,keyasint"`
+	Records int     `cbor:"3,keyasint"`
+}
+
+// Record is one record of any kind: a pointer to one of the types above.
+type Record any
+
+// when gives a record's time.
+func when(r Record) float64 {
+	switch r := r.(type) {
+	case *Header:
+		return r.ClockMS
+	case *Engine:
+		return r.At
+	case *Second:
+		return r.At
+	case *Answer:
+		return r.At
+	case *Event:
+		return r.At
+	case *Gap:
+		return r.At
+	}
+	return 0
+}
+
+// When gives a record's time on its router's clock, in milliseconds.
+func When(r Record) float64 { return when(r) }
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -139,6 +139,8 @@
 	call    Attempt
 	timeout *Timer
 	ended   bool
+	engine  brain.EngineID
+	outcome brain.Outcome
 }
 
 // Core is the router's state.
@@ -161,7 +163,9 @@
 	Ids func(IDChange)
 	// Claim, where it is set, asks the other process of this router whether an id may begin here, and calls back in the
 	// loop, once, and never from within.
-	Claim     func(id string, then func(Word))
+	Claim func(id string, then func(Word))
+	// Watch, where it is set, hears of requests and attempts; it decides nothing.
+	Watch     Watcher
 	hearing   bool            // see Hear
 	fresh     []*request      // taken in since the module was last told
 	closeAt   float64         // when the process ends; 0 while that is not known
@@ -256,6 +260,9 @@
 	class, _ := c.Class(q.Class)
 	c.seq++
 	c.Counters.Taken++
+	if c.Watch != nil {
+		c.Watch.Arrived(q)
+	}
 	r := &request{Request: q, key: brain.RequestID(strconv.FormatUint(c.seq, 10)), asker: asker,
 		end: q.Sent + q.Budget - answerMargin, priority: 1}
 	if c.closeAt > 0 {
@@ -297,6 +304,7 @@
 	c.Counters.Abandoned++
 	c.finish(r)
 	c.events = append(c.events, brain.Abort{Request: r.key})
+	c.watched(r, Answer{Kind: AnswerLeft})
 }
 
 // finish closes a request; its attempts that are out go on being reported to the module.
@@ -326,6 +334,7 @@
 	c.finish(r)
 	c.Counters.Failed++
 	c.ByClass[r.Class].Failed++
+	c.watched(r, Answer{Kind: AnswerFailed, Reason: r.why(why)})
 	asker.Failed(why)
 }
 
@@ -474,6 +483,7 @@
 			c.finish(r)
 			c.Counters.Refused++
 			c.ByClass[r.Class].Refused++
+			c.watched(r, Answer{Kind: AnswerRefused, Reason: c.whyRefused(r)})
 			asker.Refused(clock.Millis(a.RetryAfter))
 		}
 	case brain.Fail:
@@ -500,7 +510,7 @@
 		return
 	}
 	now := c.loop.Now()
-	a := &attempt{r: r, hop: len(r.attempts), at: now}
+	a := &attempt{r: r, hop: len(r.attempts), at: now, engine: s.Engine}
 	r.attempts = append(r.attempts, a)
 	r.out++
 	wait := r.end - now
@@ -514,6 +524,9 @@
 		return
 	}
 	c.Counters.Sends++
+	if c.Watch != nil {
+		c.Watch.Sent(s.Engine)
+	}
 	class, _ := c.Class(r.Class)
 	if class.Semantics == brain.AtMostOnce {
 		c.spent.add(r.ID)
@@ -533,7 +546,10 @@
 		return
 	}
 	r := a.r
-	a.ended = true
+	a.ended, a.outcome = true, e.Outcome
+	if c.Watch != nil {
+		c.Watch.Ended(a.engine, e.Outcome, c.loop.Now()-a.at)
+	}
 	a.timeout.Stop()
 	a.call.Drop()
 	r.out--
@@ -553,6 +569,7 @@
 		c.finish(r)
 		c.Counters.Served++
 		c.ByClass[r.Class].Served++
+		c.watched(r, Answer{Kind: AnswerServed, AimMS: c.aim(r, e.Result), Engine: a.engine})
 		asker.Served(e.Result)
 	}
 	end := brain.AttemptEnd{Request: r.key, Attempt: a.hop, Outcome: e.Outcome,
--- a/internal/router/handover.go
+++ b/internal/router/handover.go
@@ -123,6 +123,7 @@
 			c.finish(r)
 			c.Counters.Refused++
 			c.ByClass[r.Class].Refused++
+			c.watched(r, Answer{Kind: AnswerRefused, Reason: "no word of the router's other process"})
 			asker.Refused(claimBackoffMS)
 		}
 	})
--- /dev/null
+++ b/internal/site/site_test.go
@@ -0,0 +1,84 @@
+package site
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
+	"windflow/internal/flightsql"
+)
+
+func TestExample(t *testing.T) {
+	s, err := Read("../../deploy/windflow.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s.FlightSQL == nil || s.BGP == nil || s.BGP.HoldTimeS != 90 || s.BGP.Prefixes[0].String() != "127.0.0.1/32" {
+		t.Errorf("%+v", s)
+	}
+}
+
+func TestDefaultsAndOff(t *testing.T) {
+	s, err := Parse([]byte(`{"flightsql":{"listen":"127.0.0.1:1"}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	want := &Settings{FlightSQL: &flightsql.Config{Listen: "127.0.0.1:1", MaxConnections: 32}}
+	if diff := cmp.Diff(want, s, cmpopts.EquateEmpty()); diff != "" {
+		t.Error(diff)
+	}
+}
+
+// What can't be used is named with its place and what is allowed there.
+func TestFaults(t *testing.T) {
+	const bgp = `{"bgp":{"peer":"127.0.0.1:179","peer_as":1,"local_as":2,"router_id":"10.0.0.1","prefixes":["10.1.0.1/32"],"next_hop":"10.0.0.1"}}`
+	if _, err := Parse([]byte(bgp)); err != nil {
+		t.Fatal(err)
+	}
+	for name, c := range map[string]struct {
+		text string
+		want []string
+	}{
+		"no JSON":         {"{\n\"bgp\": {\n}", []string{"not valid JSON"}},
+		"two texts":       {"{} {}", []string{"not valid JSON"}},
+		"a list":          {"[]", []string{"/: ", "object"}},
+		"a null section":  {`{"bgp":null}`, []string{"/bgp: ", "object"}},
+		"a fraction":      {`{"flightsql":{"listen":"a:1","max_connections":1.5}}`, []string{"/flightsql/max_connections: "}},
+		"no prefixes":     {strings.Replace(bgp, `["10.1.0.1/32"]`, "[]", 1), []string{"/bgp/prefixes: "}},
+		"a section":       {`{"flight":{}}`, []string{"/: unknown field flight; known are $schema, bgp, flightsql, records"}},
+		"a field":         {`{"flightsql":{"listen":"a:1","max":3}}`, []string{"/flightsql: unknown field max; known are engine_kinds, listen, max_connections"}},
+		"a missing field": {`{"flightsql":{}}`, []string{"/flightsql: missing: listen"}},
+		"a range":         {`{"flightsql":{"listen":"a:1","max_connections":9999}}`, []string{"/flightsql/max_connections: maximum: 9999 is greater than 4096 (", "Connections taken at once"}},
+		"a type":          {`{"flightsql":{"listen":5}}`, []string{"/flightsql/listen: ", "string", "address:port"}},
+		"an item":         {`{"flightsql":{"listen":"a:1","engine_kinds":["x",""]}}`, []string{"/flightsql/engine_kinds/1: "}},
+		"two faults":      {`{"flightsql":{"listen":5,"max_connections":0}}`, []string{"/flightsql/listen: ", "\n/flightsql/max_connections: "}},
+		"a hold time":     {strings.Replace(bgp, `"peer_as"`, `"hold_time_s":2,"peer_as"`, 1), []string{"/bgp/hold_time_s: ", "0 for never, or 3 and more"}},
+		"host bits":       {strings.Replace(bgp, "10.1.0.1/32", "10.1.0.1/24", 1), []string{"/bgp: field prefixes: 10.1.0.1/24"}},
+		"an IPv6 address": {strings.Replace(bgp, `"router_id":"10.0.0.1"`, `"router_id":"::1"`, 1), []string{"/bgp/router_id: "}},
+	} {
+		s, err := Parse([]byte(c.text))
+		if err == nil {
+			t.Errorf("%s: taken as %+v", name, s)
+			continue
+		}
+		for _, want := range c.want {
+			if !strings.Contains(err.Error(), want) {
+				t.Errorf("%s: %q is not in %q", name, want, err)
+			}
+		}
+	}
+	path := filepath.Join(t.TempDir(), "own.json")
+	if err := os.WriteFile(path, []byte(`{"x":1,"flightsql":{}}`), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	_, err := Read(path)
+	for line := range strings.Lines(err.Error()) {
+		if !strings.HasPrefix(line, path+": /") {
+			t.Errorf("a line without its file: %q", line)
+		}
+	}
+}
