Join records of several routers: clocks, incidents by loss of worth, who was hurt

Need: records of one router tell nothing of the fleet, and routers' clocks differ. internal/incident (pure; a test guards its imports with those of internal/decide) ties clocks together by what all routers hear, engines that drain or go: median offset, Theil-Sen drift, and the bound within which it holds; finds incidents by the worth lost against the calm, for whom, and each engine's states as each router saw them. windflowctl incident prints it. The recorder writes changes of the list as they come, so that they tie clocks to milliseconds. No cause is named yet.

--- a/cmd/windflowctl/main.go
+++ b/cmd/windflowctl/main.go
@@ -9,6 +9,13 @@
 )
 
 func main() {
+	if err := command().Execute(); err != nil {
+		fmt.Fprintln(os.Stderr, "windflowctl:", err)
+		os.Exit(1)
+	}
+}
+
+func command() *cobra.Command {
 	root := &cobra.Command{
 		Use:           "windflowctl",
 		Short:         "Tools beside a windflow router",
@@ -16,9 +23,6 @@
 		SilenceUsage:  true,
 	}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(doorCommand(), recordsCommand())
-	if err := root.Execute(); err != nil {
-		fmt.Fprintln(os.Stderr, "windflowctl:", err)
-		os.Exit(1)
-	}
+	root.AddCommand(doorCommand(), recordsCommand(), incidentCommand())
+	return root
 }
--- /dev/null
+++ b/cmd/windflowctl/main_test.go
@@ -0,0 +1,126 @@
+package main
+
+import (
+	"bytes"
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+
+	"windflow/internal/record"
+)
+
+const zero = 1_796_000_000_000.0
+
+// write has two routers, 250 ms apart, write two minutes of records, in the middle of which an engine is down.
+func write(t *testing.T) string {
+	t.Helper()
+	dir := t.TempDir()
+	for i, offset := range []float64{0, 250} {
+		cfg := record.Defaults
+		cfg.Dir = dir
+		at := zero
+		w := record.Start(cfg, record.Header{Router: "n" + string(rune('0'+i)) + "\x1b[31m", Place: 2, Process: "p" + string(rune('0'+i)),
+			Classes: []record.Class{{Name: "lookup", Worth: 1}}}, func() float64 { return at }, func(err error) { t.Error(err) })
+		on := func(ms float64) float64 { return zero + ms + offset }
+		w.Put(&record.Engine{At: on(0), ID: "s-00000001", State: record.Warm})
+		for s := range 120 {
+			row := record.Row{Class: "lookup", Tenant: "rckik-south", Arrived: 50, InAim: 50}
+			if s >= 60 && s < 70 {
+				row.InAim, row.Failed = 20, 30
+			}
+			if s == 60 {
+				w.Put(&record.Engine{At: on(60_000), ID: "s-00000001", State: record.Down, Was: record.Warm, Lost: 6})
+			}
+			if s == 70 {
+				w.Put(&record.Engine{At: on(70_000), ID: "s-00000001", State: record.Warm, Was: record.Down})
+			}
+			if s%20 == 5 {
+				w.Put(&record.Engine{At: on(float64(1000 * s)), ID: "s-0000010" + string(rune('0'+s/20)), State: record.Gone})
+			}
+			w.Put(&record.Second{At: on(float64(1000 * s)), ForMS: 1000, Rows: []record.Row{row}})
+		}
+		w.Stop()
+	}
+	return dir
+}
+
+func run(t *testing.T, args ...string) (out, bad string, err error) {
+	t.Helper()
+	root := command()
+	var a, b bytes.Buffer
+	root.SetOut(&a)
+	root.SetErr(&b)
+	root.SetArgs(args)
+	err = root.Execute()
+	return a.String(), b.String(), err
+}
+
+func TestRecordsCommands(t *testing.T) {
+	dir := write(t)
+	out, _, err := run(t, "records", "check", dir)
+	if err != nil || strings.Count(out, ": ok\n") != 2 {
+		t.Error(out, err)
+	}
+	out, _, err = run(t, "records", "cat", "--kind", "engine,header", dir)
+	lines := strings.Split(strings.TrimSpace(out), "\n")
+	if err != nil || len(lines) != 2*(1+3+6) {
+		t.Error(len(lines), err)
+	}
+	for _, l := range lines {
+		var v line
+		if err := json.Unmarshal([]byte(l), &v); err != nil || v.Kind != "engine" && v.Kind != "header" || v.Time == "" {
+			t.Errorf("%s: %v", l, err)
+		}
+	}
+	if _, _, err := run(t, "records", "cat", "--kind", "x", dir); err == nil || !strings.Contains(err.Error(), "--kind") {
+		t.Error(err)
+	}
+	cut := filepath.Join(t.TempDir(), "cut")
+	out, _, err = run(t, "records", "cut", "--from", "2026-11-30T00:00:00Z", "--to", "2026-11-30T00:00:00Z", "-o", cut, dir)
+	if err == nil || !strings.Contains(err.Error(), "--to") {
+		t.Error(out, err)
+	}
+	if out, _, err = run(t, "records", "cut", "--from", stamp(zero+50_000), "--to", stamp(zero+80_000), "-o", cut, dir); err != nil {
+		t.Error(out, err)
+	}
+	if out, _, err = run(t, "incident", cut); err != nil || !strings.Contains(out, "Incident 1") {
+		t.Error(out, err)
+	}
+	// A damaged file is told of and fails the check; a cut one does not.
+	files, _ := record.Files(dir)
+	text, _ := os.ReadFile(files[0])
+	if err := os.WriteFile(files[0], text[:len(text)-3], 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if out, _, err = run(t, "records", "check", dir); err != nil || !strings.Contains(out, "cut off at byte") {
+		t.Error(out, err)
+	}
+	text[len(text)/2] ^= 1
+	if err := os.WriteFile(files[0], text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if out, _, err = run(t, "records", "check", dir); err == nil || !strings.Contains(out, "damaged from byte") {
+		t.Error(out, err)
+	}
+	if _, _, err = run(t, "records", "check", t.TempDir()); err == nil || !strings.Contains(err.Error(), "no segments") {
+		t.Error(err)
+	}
+}
+
+// The incident, whose clock is off, who was hurt and the engine are named; no escape code of a hostile name passes.
+func TestIncidentCommand(t *testing.T) {
+	out, _, err := run(t, "incident", write(t))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"clock off by +250.0 ms", "Incident 1", "lookup of rckik-south", "failed", "engine s-00000001: down at n0"} {
+		if !strings.Contains(out, want) {
+			t.Errorf("%q is not in\n%s", want, out)
+		}
+	}
+	if strings.Contains(out, "\x1b") || strings.Contains(out, "Incident 2") {
+		t.Errorf("%q", out)
+	}
+}
--- a/internal/decide/imports_test.go
+++ b/internal/decide/imports_test.go
@@ -20,7 +20,18 @@
 // be played again.
 func TestDecisionsDoNoIO(t *testing.T) {
 	files := 0
-	err := filepath.WalkDir(".", func(path string, d fs.DirEntry, err error) error {
+	for _, dir := range []string{".", "../incident"} {
+		files += pure(t, dir)
+	}
+	if files < 4 {
+		t.Error(files, "files")
+	}
+}
+
+// pure looks at the imports below a folder, and gives the number of its files.
+func pure(t *testing.T, dir string) (files int) {
+	t.Helper()
+	err := filepath.WalkDir(dir, func(path string, d fs.DirEntry, err error) error {
 		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
 			return err
 		}
@@ -32,13 +43,14 @@
 		}
 		for _, i := range f.Imports {
 			name, _ := strconv.Unquote(i.Path.Value)
-			if !slices.Contains(allowed, name) && !strings.HasPrefix(name, "windflow/internal/decide/") {
+			if !slices.Contains(allowed, name) && !strings.HasPrefix(name, "windflow/internal/decide/") && name != "windflow/internal/record" {
 				t.Errorf("%s imports %s", set.Position(i.Pos()), name)
 			}
 		}
 		return nil
 	})
-	if err != nil || files == 0 {
-		t.Fatal(files, "files", err)
+	if err != nil {
+		t.Error(err)
 	}
+	return files
 }
--- /dev/null
+++ b/internal/incident/story.go
@@ -0,0 +1,403 @@
+package incident
+
+import (
+	"cmp"
+	"maps"
+	"math"
+	"slices"
+
+	"windflow/internal/record"
+)
+
+// Joiner takes records in, of any processes and in any order of them; each process's come in the order of its time. It
+// holds a row a second and what happened, never the records.
+type Joiner struct {
+	processes map[string]*process
+	classes   map[string]record.Class
+}
+
+type process struct {
+	head    record.Header
+	marks   map[mark]float64
+	changes []record.Engine
+	seconds []second
+	events  []record.Event
+	gaps    []record.Gap
+	from    float64
+	to      float64
+}
+
+type key struct{ class, tenant string }
+
+type second struct {
+	at   float64
+	rows map[key]record.Row
+	held int
+	jam  float64
+}
+
+// NewJoiner returns a joiner of nothing yet.
+func NewJoiner() *Joiner {
+	return &Joiner{processes: map[string]*process{}, classes: map[string]record.Class{}}
+}
+
+// Add takes a record in; h is its segment's header.
+func (j *Joiner) Add(h *record.Header, r record.Record) {
+	p := j.processes[h.Process]
+	if p == nil {
+		p = &process{head: *h, marks: map[mark]float64{}, from: record.When(r), to: record.When(r)}
+		j.processes[h.Process] = p
+		for _, c := range h.Classes {
+			j.classes[c.Name] = c
+		}
+	}
+	at := record.When(r)
+	p.from, p.to = min(p.from, at), max(p.to, at)
+	switch r := r.(type) {
+	case *record.Engine:
+		if m, ok := markOf(r); ok {
+			if _, known := p.marks[m]; !known {
+				p.marks[m] = r.At
+			}
+		}
+		p.changes = append(p.changes, *r)
+	case *record.Second:
+		s := second{at: r.At, rows: make(map[key]record.Row, len(r.Rows)), held: r.Held, jam: r.Jam}
+		for _, row := range r.Rows {
+			s.rows[key{row.Class, row.Tenant}] = row
+		}
+		p.seconds = append(p.seconds, s)
+	case *record.Event:
+		p.events = append(p.events, *r)
+	case *record.Gap:
+		p.gaps = append(p.gaps, *r)
+	}
+}
+
+// Story is what records tell. All times are on the first router's clock, in milliseconds.
+type Story struct {
+	From, To  float64
+	Processes []Process
+	Engines   []EngineLife
+	Incidents []Incident
+	Missing   []Missing
+	Loss      []float64 // of worth, 0 to 1, a value a second from From on; NaN where nothing ended
+	Base      float64   // in the calm
+}
+
+// Process is one process of a router.
+type Process struct {
+	Router   string
+	Place    uint64
+	Name     string
+	From, To float64
+	Clock    Clock
+	Records  int // seconds that it wrote
+}
+
+// EngineLife is what the routers held of an engine.
+type EngineLife struct {
+	ID    string
+	Spans []Span
+}
+
+// Span is a state that an engine had, as one router saw it.
+type Span struct {
+	Router   string
+	From, To float64
+	Within   float64
+	State    record.State
+	Slow     float64
+	Fail     float64
+	Lost     int
+}
+
+// Incident is a stretch in which service was worth less than in the calm.
+type Incident struct {
+	From, To float64
+	Loss     float64 // mean share of the worth that was lost
+	Hurt     []Hurt  // the worst first
+}
+
+// Hurt is a class and tenant in an incident.
+type Hurt struct {
+	Class, Tenant         string
+	Late, Refused, Failed int
+	Ended                 int
+	Loss                  float64 // share of its own worth that was lost
+	Calm                  float64 // the same in the calm
+	Part                  float64 // of all that was lost
+}
+
+// Missing is a stretch of which records don't tell.
+type Missing struct {
+	Router   string
+	From, To float64
+	Records  int // that were dropped; 0 where none were written
+}
+
+const (
+	// An incident begins where the loss, over windowS seconds, passes that of the calm by riseBy, and ends where it has
+	// been within fallBy for fallS seconds; shorter ones than leastS are none. Two that lie closer than mergeS are one.
+	windowS, leastS, fallS, mergeS = 3, 2, 3, 5
+	riseBy, fallBy                 = 0.08, 0.04
+	// calmQuantile of all seconds is the calm.
+	calmQuantile = 0.25
+	// silentMS is how long a process may write no second before it counts as missing.
+	silentMS = 2500.0
+)
+
+// Tell joins what was added.
+func (j *Joiner) Tell() *Story {
+	s := &Story{From: math.Inf(1), To: math.Inf(-1)}
+	order := slices.SortedFunc(maps.Values(j.processes), func(a, b *process) int {
+		return cmp.Or(cmp.Compare(a.head.Router, b.head.Router), cmp.Compare(a.from, b.from), cmp.Compare(a.head.Process, b.head.Process))
+	})
+	if len(order) == 0 {
+		return &Story{}
+	}
+	clocks := clocksOf(order)
+	for i, p := range order {
+		c := clocks[i]
+		s.Processes = append(s.Processes, Process{Router: p.head.Router, Place: p.head.Place, Name: p.head.Process,
+			From: c.Correct(p.from), To: c.Correct(p.to), Clock: c, Records: len(p.seconds)})
+		s.From, s.To = min(s.From, c.Correct(p.from)), max(s.To, c.Correct(p.to))
+		for _, g := range p.gaps {
+			s.Missing = append(s.Missing, Missing{p.head.Router, c.Correct(g.From), c.Correct(g.At), g.Records})
+		}
+		for k := 1; k < len(p.seconds); k++ {
+			if a, b := p.seconds[k-1].at, p.seconds[k].at; b-a > silentMS {
+				s.Missing = append(s.Missing, Missing{p.head.Router, c.Correct(a), c.Correct(b), 0})
+			}
+		}
+	}
+	s.Engines = lives(order, clocks, s.To)
+	j.service(s, order, clocks)
+	slices.SortFunc(s.Missing, func(a, b Missing) int { return cmp.Compare(a.From, b.From) })
+	return s
+}
+
+// clocksOf ties the clocks of all processes to the one with the most marks. Processes of one router run on one machine and
+// share its clock, but each takes it at its own start; where they share no mark, it is taken to agree.
+func clocksOf(order []*process) []Clock {
+	clocks := make([]Clock, len(order))
+	ref := -1
+	for i, p := range order {
+		if ref < 0 || len(p.marks) > len(order[ref].marks) {
+			ref = i
+		}
+	}
+	// Marks that a process tied to the reference saw are the reference's, corrected: a process that ended early and one that
+	// started late are tied through a third.
+	known := map[mark]float64{}
+	tied := make([]bool, len(order))
+	tie := func(i int, c Clock) {
+		clocks[i], tied[i] = c, true
+		for m, at := range order[i].marks {
+			if _, there := known[m]; !there {
+				known[m] = c.Correct(at)
+			}
+		}
+	}
+	tie(ref, Clock{Told: true, Within: leastMS, Marks: len(order[ref].marks), Zero: order[ref].from})
+	for {
+		best, most := -1, 0
+		for i, p := range order {
+			shared := 0
+			for m := range p.marks {
+				if _, there := known[m]; there && !tied[i] {
+					shared++
+				}
+			}
+			if shared > most {
+				best, most = i, shared
+			}
+		}
+		if best < 0 {
+			break
+		}
+		tie(best, estimate(order[best].marks, known))
+	}
+	for i, p := range order {
+		if tied[i] {
+			continue
+		}
+		clocks[i] = Clock{Within: untoldMS, Zero: p.from}
+		for k, other := range order { // its machine's clock, if another process of the router is tied
+			if tied[k] && other.head.Router == p.head.Router {
+				c := clocks[k]
+				c.Marks, c.Within = 0, c.Within+leastMS+10
+				clocks[i] = c
+				break
+			}
+		}
+	}
+	return clocks
+}
+
+// lives gives each engine's states over time, router by router.
+func lives(order []*process, clocks []Clock, end float64) []EngineLife {
+	spans := map[string][]Span{}
+	for i, p := range order {
+		c := clocks[i]
+		open := map[string]int{}
+		until := min(c.Correct(p.to), end)
+		for _, e := range p.changes {
+			at := c.Correct(e.At)
+			if k, there := open[e.ID]; there {
+				spans[e.ID][k].To = at
+				delete(open, e.ID)
+			}
+			if e.State == record.Gone {
+				continue
+			}
+			spans[e.ID] = append(spans[e.ID], Span{Router: p.head.Router, From: at, To: until, Within: c.Within, State: e.State,
+				Slow: e.Slow, Fail: e.Fail, Lost: e.Lost})
+			open[e.ID] = len(spans[e.ID]) - 1
+		}
+	}
+	var all []EngineLife
+	for _, id := range slices.Sorted(maps.Keys(spans)) {
+		list := spans[id]
+		slices.SortStableFunc(list, func(a, b Span) int {
+			return cmp.Or(cmp.Compare(a.Router, b.Router), cmp.Compare(a.From, b.From))
+		})
+		all = append(all, EngineLife{ID: id, Spans: list})
+	}
+	return all
+}
+
+// worth gives a class's worth and the share of it that a late answer earns.
+func (j *Joiner) worth(class string) (worth, late float64) {
+	if c, ok := j.classes[class]; ok && c.Worth > 0 {
+		return c.Worth, c.LateWorth
+	}
+	return 1, 0
+}
+
+// service finds the incidents: it goes by what ended in each second, so that long queries are not missed while they run.
+func (j *Joiner) service(s *Story, order []*process, clocks []Clock) {
+	n := int((s.To-s.From)/1000) + 1
+	buckets := make([]map[key]record.Row, n)
+	for i, p := range order {
+		for _, sec := range p.seconds {
+			at := min(max(int((clocks[i].Correct(sec.at)-s.From)/1000), 0), n-1)
+			if buckets[at] == nil {
+				buckets[at] = map[key]record.Row{}
+			}
+			for k, row := range sec.rows {
+				sum := buckets[at][k]
+				sum.InAim, sum.Late = sum.InAim+row.InAim, sum.Late+row.Late
+				sum.Refused, sum.Failed = sum.Refused+row.Refused, sum.Failed+row.Failed
+				buckets[at][k] = sum
+			}
+		}
+	}
+	value := func(k key, row record.Row) (got, most float64) {
+		worth, late := j.worth(k.class)
+		return worth * (float64(row.InAim) + late*float64(row.Late)),
+			worth * float64(row.InAim+row.Late+row.Refused+row.Failed)
+	}
+	s.Loss = make([]float64, n)
+	var calm []float64
+	for i := range n {
+		var got, most float64
+		for w := max(i-windowS+1, 0); w <= i; w++ {
+			for k, row := range buckets[w] {
+				g, m := value(k, row)
+				got, most = got+g, most+m
+			}
+		}
+		if s.Loss[i] = math.NaN(); most > 0 {
+			s.Loss[i] = 1 - got/most
+			calm = append(calm, s.Loss[i])
+		}
+	}
+	if len(calm) == 0 {
+		return
+	}
+	slices.Sort(calm)
+	s.Base = calm[int(calmQuantile*float64(len(calm)-1))]
+	var found [][2]int
+	for i := 0; i < n; i++ {
+		if !(s.Loss[i] > s.Base+riseBy) {
+			continue
+		}
+		last, good := i, 0
+		for k := i; k < n && good < fallS; k++ {
+			if math.IsNaN(s.Loss[k]) || s.Loss[k] > s.Base+fallBy {
+				good = 0
+				if s.Loss[k] > s.Base+fallBy {
+					last = k
+				}
+			} else {
+				good++
+			}
+		}
+		if k := len(found) - 1; k >= 0 && i-found[k][1] <= mergeS {
+			found[k][1] = last
+		} else {
+			found = append(found, [2]int{i, last})
+		}
+		i = last
+	}
+	inside := make([]bool, n)
+	for _, f := range found {
+		for i := max(f[0]-windowS, 0); i <= f[1]; i++ {
+			inside[i] = true
+		}
+	}
+	quiet := map[key]record.Row{}
+	for i, b := range buckets {
+		if inside[i] {
+			continue
+		}
+		for k, row := range b {
+			quiet[k] = plus(quiet[k], row)
+		}
+	}
+	for _, f := range found {
+		if f[1]-f[0]+1 < leastS {
+			continue
+		}
+		from := max(f[0]-windowS+1, 0) // what the window's first second looked back on
+		in := Incident{From: s.From + 1000*float64(from), To: s.From + 1000*float64(f[1]+1)}
+		sums := map[key]record.Row{}
+		for i := from; i <= f[1]; i++ {
+			for k, row := range buckets[i] {
+				sums[k] = plus(sums[k], row)
+			}
+		}
+		var lost, all float64
+		for k, row := range sums {
+			got, most := value(k, row)
+			lost, all = lost+most-got, all+most
+			h := Hurt{Class: k.class, Tenant: k.tenant, Late: row.Late, Refused: row.Refused, Failed: row.Failed,
+				Ended: row.InAim + row.Late + row.Refused + row.Failed}
+			if most > 0 {
+				h.Loss = 1 - got/most
+			}
+			if got, most := value(k, quiet[k]); most > 0 {
+				h.Calm = 1 - got/most
+			}
+			h.Part = most - got
+			in.Hurt = append(in.Hurt, h)
+		}
+		if all == 0 || lost == 0 {
+			continue
+		}
+		in.Loss = lost / all
+		for i := range in.Hurt {
+			in.Hurt[i].Part /= lost
+		}
+		slices.SortFunc(in.Hurt, func(a, b Hurt) int {
+			return cmp.Or(cmp.Compare(b.Part, a.Part), cmp.Compare(a.Class, b.Class), cmp.Compare(a.Tenant, b.Tenant))
+		})
+		s.Incidents = append(s.Incidents, in)
+	}
+}
+
+func plus(a, b record.Row) record.Row {
+	a.InAim, a.Late, a.Refused, a.Failed = a.InAim+b.InAim, a.Late+b.Late, a.Refused+b.Refused, a.Failed+b.Failed
+	return a
+}
--- a/internal/node/part_record.go
+++ b/internal/node/part_record.go
@@ -10,6 +10,7 @@
 	"windflow/internal/clock"
 	"windflow/internal/record"
 	"windflow/internal/router"
+	"windflow/internal/settings"
 	"windflow/internal/site"
 )
 
@@ -54,7 +55,7 @@
 			now := r.loop.Now
 			plain := r.log // what the writer has to say of its disk can't go to that disk
 			c.w = record.Start(*cfg, record.Header{Router: r.cfg.Name, Place: uint64(r.machine.Self),
-				Process: record.ProcessName(now()), Program: program}, now, func(err error) {
+				Process: record.ProcessName(now()), Program: program, Classes: classesOf(r.cfg)}, now, func(err error) {
 				if err != nil {
 					plain.Error("records can't be written; serving goes on", "dir", cfg.Dir, "err", err)
 				} else {
@@ -86,6 +87,14 @@
 	}
 }
 
+func classesOf(cfg *settings.Node) (all []record.Class) {
+	d, _ := decisionsOf(cfg, 0)
+	for _, k := range d.Classes {
+		all = append(all, record.Class{Name: k.Name, Worth: k.Worth, LateWorth: k.LateWorth, AimMS: clock.Millis(k.Aim)})
+	}
+	return all
+}
+
 // records joins the log to the records, once there is a writer.
 type records struct {
 	put atomic.Pointer[*record.Writer]
@@ -100,8 +109,21 @@
 	}))
 }
 
-// look writes how engines' states changed.
+// look is what the recorder does now and again.
 func (c *recorder) look() {
+	c.observe()
+	if c.r.loop.Now()-c.takenAt >= secondEvery {
+		c.second()
+	}
+	c.r.loop.After(lookEvery, c.look)
+}
+
+// Listed implements router.Watcher. The change is written in the next step, when the module has been told: all routers
+// hear of it at much the same time, so that it ties their clocks together.
+func (c *recorder) Listed() { c.r.loop.After(0, c.observe) }
+
+// observe writes how engines' states changed.
+func (c *recorder) observe() {
 	now := c.r.loop.Now()
 	c.r.core.See(&c.view)
 	clear(c.seen)
@@ -120,10 +142,6 @@
 			c.meter.Forget(uint64(id))
 		}
 	}
-	if now-c.takenAt >= secondEvery {
-		c.second()
-	}
-	c.r.loop.After(lookEvery, c.look)
 }
 
 func (c *recorder) change(now float64, e *brain.EngineView, state record.State) {
--- a/internal/record/types.go
+++ b/internal/record/types.go
@@ -34,6 +34,15 @@
 	Segment uint64  `cbor:"6,keyasint"` // from 0 in each process
 	ClockMS float64 `cbor:"7,keyasint"`
 	WallMS  float64 `cbor:"8,keyasint"`
+	Classes []Class `cbor:"9,keyasint,omitempty"`
+}
+
+// Class is a class of requests, as the settings have it.
+type Class struct {
+	Name      string  `cbor:"1,keyasint"`
+	Worth     float64 `cbor:"2,keyasint"`
+	LateWorth float64 `cbor:"3,keyasint,omitempty"` // share of it that an answer after the aim earns
+	AimMS     float64 `cbor:"4,keyasint,omitempty"`
 }
 
 // State is an engine's, as the module sees it.
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -342,6 +342,9 @@
 // has heard of it: an event gathered ahead of this list may still have it send to one.
 func (c *Core) Engines(list brain.EngineList, addrs map[brain.EngineID]string) {
 	c.Counters.Lists++
+	if c.Watch != nil {
+		c.Watch.Listed()
+	}
 	if list.Mode == brain.ListFull {
 		// An engine that a whole list leaves out is gone; its address may pass to another.
 		for id, e := range c.engines {
--- a/internal/router/watch.go
+++ b/internal/router/watch.go
@@ -10,6 +10,8 @@
 	Arrived(*Request)
 	Answered(*Request, Answer)
 	Sent(brain.EngineID)
+	// Listed hears that the list of engines has changed; the module is told at the end of the step.
+	Listed()
 	Ended(engine brain.EngineID, outcome brain.Outcome, tookMS float64)
 }
 
