Write the log from a goroutine of its own, so that the loop waits for no reader

Need: a pipe or disk that takes no more would have held up the loop, and with it every line that could tell of it.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -56,17 +56,19 @@
 	JSON     bool   // log as JSON
 }
 
-// logger is the program's.
-func (o Options) logger() *slog.Logger {
+// logger is the program's, and what has its last lines written.
+func (o Options) logger() (log *slog.Logger, flush func()) {
+	out := newLines(os.Stderr)
 	level := slog.LevelInfo
 	if o.Debug {
 		level = slog.LevelDebug
 	}
 	how := &slog.HandlerOptions{Level: level}
-	if o.JSON {
-		return slog.New(slog.NewJSONHandler(os.Stderr, how))
+	if log = slog.New(slog.NewTextHandler(out, how)); o.JSON {
+		log = slog.New(slog.NewJSONHandler(out, how))
 	}
-	return slog.New(slog.NewTextHandler(os.Stderr, how))
+	out.tell = func(n int64) { log.Warn("log lines were dropped", "lines", n) }
+	return log, out.flush
 }
 
 // Run is a router from its start to its end. The platform's configuration is the file that PROXY_CONFIG names. An error
@@ -87,7 +89,9 @@
 	if err != nil {
 		return err
 	}
-	r := newNode(cfg, own, opts, opts.logger().With("name", cfg.Name))
+	log, flush := opts.logger()
+	defer flush()
+	r := newNode(cfg, own, opts, log.With("name", cfg.Name))
 	r.begin(true)
 	go func() {
 		for s := range signals {
