Say one thing once: a branch of the takeover, a test's hello, a wrong word on claims

Read again: two branches of the machine did the same, the tests built a hello in two places, a constant of the model was never used, and the page of Core.Claim said that it never calls back from within, which it does where nobody is to be asked. Nothing changes in what runs.

--- a/internal/decide/takeover/model_test.go
+++ b/internal/decide/takeover/model_test.go
@@ -23,14 +23,13 @@
 type note uint8
 
 const (
-	about  note = 16         // the low bits say which attempt to begin the load a question or an answer belongs to
-	askID  note = 32         // may I begin it?
-	yesID  note = 64         //
-	noID   note = 128        //
-	told   note = about - 1  // it may have run here
-	asIs   note = 8          // added to State: the sender's snapshot has the id as one that may have run
-	banned note = 8 + 7      // never sent: keeps the ranges apart
-	kinds  note = note(Back) // the greatest of the protocol
+	about note = 16         // the low bits say which attempt to begin the load a question or an answer belongs to
+	askID note = 32         // may I begin it?
+	yesID note = 64         //
+	noID  note = 128        //
+	told  note = about - 1  // it may have run here
+	asIs  note = 8          // added to State: the sender's snapshot has the id as one that may have run
+	kinds note = note(Back) // the greatest of the protocol
 )
 
 type queue struct {
--- a/internal/decide/takeover/takeover.go
+++ b/internal/decide/takeover/takeover.go
@@ -327,10 +327,7 @@
 func (s *step) nobody() {
 	s.elder, s.askAt, s.known = None, 0, true
 	switch s.phase {
-	case Looking, Asking:
-		s.bound(Whole)
-		s.accept()
-	case Taking:
+	case Looking, Asking, Taking:
 		s.bound(Whole)
 		s.accept()
 	case Guarded:
--- a/internal/node/steps_test.go
+++ b/internal/node/steps_test.go
@@ -65,6 +65,14 @@
 	return handover.Message{}
 }
 
+// hello is the recorded one, from the place that the test has.
+func (s script) hello(t *testing.T, p *handover.Place) handover.Message {
+	t.Helper()
+	h := s.of(t, "hello")
+	h.Body = jsoniter.RawMessage(strings.Replace(string(h.Body), `"place":3`, fmt.Sprintf(`"place":%d`, p.Peer), 1))
+	return h
+}
+
 // actor plays one side of a takeover; heard has the kinds of message that came, but for those that tell what runs.
 type actor struct {
 	link  *handover.Link
@@ -218,9 +226,7 @@
 		t.Fatal(err)
 	}
 	a := act(conn)
-	h := next.of(t, "hello")
-	h.Body = jsoniter.RawMessage(strings.Replace(string(h.Body), `"place":3`, fmt.Sprintf(`"place":%d`, p.Peer), 1))
-	a.link.Send(h)
+	a.link.Send(next.hello(t, p))
 	type said struct {
 		Kind string
 		Keys []string
@@ -310,8 +316,7 @@
 					t.Fatal(err)
 				}
 				a := act(conn)
-				h := next.of(t, "hello")
-				h.Body = jsoniter.RawMessage(strings.Replace(string(h.Body), `"place":3`, fmt.Sprintf(`"place":%d`, p.Peer), 1))
+				h := next.hello(t, p)
 				play := func() {
 					if step > 0 {
 						a.link.Send(h)
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -162,7 +162,7 @@
 	// Ids, where it is set, hears of ids as they come to be open or spent, or cease to be.
 	Ids func(IDChange)
 	// Claim, where it is set, asks the other process of this router whether an id may begin here, and calls back in the
-	// loop, once, and never from within.
+	// loop, once: from within with Granted where nobody is to be asked, else later.
 	Claim func(id string, then func(Word))
 	// Watch, where it is set, hears of requests and attempts; it decides nothing.
 	Watch     Watcher
