--- a/cmd/windflowctl/main.go
+++ b/cmd/windflowctl/main.go
@@ -23,6 +23,6 @@
 		SilenceUsage:  true,
 	}
 	root.CompletionOptions.DisableDefaultCmd = true
-	root.AddCommand(doorCommand(), recordsCommand(), incidentCommand())
+	root.AddCommand(doorCommand(), recordsCommand(), incidentCommand(), threadsCommand())
 	return root
 }
--- /dev/null
+++ b/cmd/windflowctl/threads_test.go
@@ -0,0 +1,60 @@
+package main
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+// A thread that stands in a wait is told with its length, also where its name holds brackets, and where the process ends in it.
+func TestThreads(t *testing.T) {
+	proc := t.TempDir()
+	put := func(tid, state, channel string) {
+		dir := filepath.Join(proc, "71", "task", tid)
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			t.Fatal(err)
+		}
+		for name, text := range map[string]string{"stat": tid + " (wind) R (flow) " + state + " 1 71", "wchan": channel} {
+			if err := os.WriteFile(filepath.Join(dir, name), []byte(text), 0o600); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	var out strings.Builder
+	w := newWatch(300 * time.Millisecond)
+	for i := range 10 {
+		put("71", "S", "ep_poll")
+		put("72", "S", "futex_wait_queue")
+		if i >= 3 && i < 8 {
+			put("72", "D", "expand_files")
+		}
+		if err := os.WriteFile(filepath.Join(proc, "71", "comm"), []byte("windflow\n"), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		w.take(time.Duration(i)*100*time.Millisecond, sample(proc, "windflow", nil), &out)
+		if got := sample(proc, "other", nil); len(got) != 0 {
+			t.Fatal(got)
+		}
+	}
+	w.take(time.Second, nil, &out)
+	if err := w.report(&out); err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{"    0.3 s: process 71, thread 72 waited 0.4 s in expand_files\n",
+		"S      ep_poll           10       0.9\n", "D      expand_files      5        0.4\n"} {
+		if !strings.Contains(out.String(), want) {
+			t.Errorf("no %q in:\n%s", want, out.String())
+		}
+	}
+}
+
+func TestThreadsOfNobody(t *testing.T) {
+	if _, _, err := run(t, "threads", "--name", "no such process", "--every", "1ms", "--for", "3ms"); err == nil || !strings.Contains(err.Error(), "no such process") {
+		t.Error(err)
+	}
+	if _, _, err := run(t, "threads", "--every", "0s"); err == nil || !strings.Contains(err.Error(), "--every") {
+		t.Error(err)
+	}
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -166,6 +166,9 @@
 	var s *site.Settings
 	if err == nil {
 		s, err = readSite(r.opts.Settings)
+		if _, err := growTable(cfg.Limits.Sockets); err != nil { // here too the loop may not wait
+			r.log.Warn("the table of descriptors was not grown", "err", err)
+		}
 	}
 	r.loop.Post(func() {
 		if err == nil && r.core == nil {
--- /dev/null
+++ b/internal/node/descriptors_test.go
@@ -0,0 +1,66 @@
+package node
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"syscall"
+	"testing"
+)
+
+// tableOf is how many descriptors a process's table has room for.
+func tableOf(t *testing.T, pid int) int {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		if size, ok := strings.CutPrefix(line, "FDSize:"); ok {
+			n, err := strconv.Atoi(strings.TrimSpace(size))
+			if err != nil {
+				t.Fatal(err)
+			}
+			return n
+		}
+	}
+	t.Fatal("no FDSize in the status")
+	return 0
+}
+
+// A router that serves never grows its table of descriptors, which may take the kernel seconds: it has room for all that
+// the limit allows before it is ready, and after a reload that allows more.
+func TestTableOfDescriptors(t *testing.T) {
+	f := newFleet(t, newSlowEngine())
+	door := freePort(t)
+	router := f.start(door)
+	f.ready(door)
+	if n := tableOf(t, router.Process.Pid); n < 1024 {
+		t.Errorf("room for %d descriptors of 1024", n)
+	}
+	text, err := os.ReadFile(f.config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	more := strings.Replace(string(text), `"sockets":1024`, `"sockets":3000`, 1)
+	if err := os.WriteFile(f.config, []byte(more), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if err := router.Process.Signal(syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	f.waitFor("room for more after a reload", func() bool { return tableOf(t, router.Process.Pid) >= 3000 })
+}
+
+func TestTableSize(t *testing.T) {
+	for _, k := range []struct {
+		sockets int
+		limit   uint64
+		want    int
+	}{{1024, 1 << 20, 1024}, {1024, 256, 256}, {0, 512, 512}, {0, 1 << 30, mostDescriptors}, {1 << 30, ^uint64(0), mostDescriptors}, {5, 0, 1}} {
+		if n := tableSize(k.sockets, k.limit); n != k.want {
+			t.Errorf("sockets %d, limit %d: %d, want %d", k.sockets, k.limit, n, k.want)
+		}
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,6 +91,9 @@
 	}
 	log, flush := opts.logger()
 	defer flush()
+	if _, err := growTable(cfg.Limits.Sockets); err != nil {
+		log.Warn("the table of descriptors was not grown", "err", err)
+	}
 	r := newNode(cfg, own, opts, log.With("name", cfg.Name))
 	r.begin(true)
 	go func() {
