--- a/brain/brain.go
+++ b/brain/brain.go
@@ -59,8 +59,8 @@
 	estMost = 100.0
 	// badPlan is how many times slower than expected an attempt must be to count as a bad plan.
 	badPlan = 4.0
-	// coldMargin is the part of the warm rate that a cold engine's slice is reckoned from, coldUse the part of
-	// what it can do by now that is rationed.
+	// coldMargin is the part of the warm rate that a cold engine's slice is reckoned from, coldUse the part
+	// of what it can do by now that is rationed.
 	coldMargin, coldUse = 0.8, 0.9
 	// rateLife is the time over which work done by warm engines is averaged.
 	rateLife = 10 * time.Second
