--- a/brain/brain.go
+++ b/brain/brain.go
@@ -31,6 +31,9 @@
 	slowGain = 0.1
 	// meanGain is the weight of one observation in a class's mean over all engines.
 	meanGain = 0.03
+	// looseThreads is the bound in a large fleet that is not crowded: parts are small there, and uneven. It
+	// goes down as answers of all classes, each of weight crowdGain, take longer than the least seen.
+	looseThreads, crowdGain, crowdFrom, crowdFull = 3.0, 0.1, 0.1, 0.5
 	// evidenceLife is the time in which evidence on an engine fades by 1/e when nothing renews it.
 	evidenceLife = 5 * time.Second
 	// fullRest is how long an engine that turned a query away gets none: sessions end about that often. An
@@ -98,9 +101,6 @@
 	tickTag      = 1
 )
 
-// firstGuess of a class's work is a quarter of the aim on each thread; the first answers correct it.
-func firstGuess(k Class) float64 { return k.Aim.Seconds() / 4 * float64(k.Threads) }
-
 // arm sets a timer for the next thing due, unless an earlier one is set: held queries look for room often,
 // for the rest only silence and the client's end matter.
 func (c *Controller) arm() {
@@ -247,9 +247,6 @@
 	return c.now >= r.end || c.large() && (over >= r.end || r.c.LateWorth == 0 && over > r.aim)
 }
 
-// margin is kept before a client's end, so that a held request is answered in time.
-func (c *Controller) margin() time.Duration { return 2*housekeeping + 2*c.cfg.Tick }
-
 // overShare tells whether a tenant is past its share of what this gateway usually takes.
 func (c *Controller) overShare(r *request) bool {
 	if r.tenant == nil || r.tenant.quota <= 0 {
@@ -367,17 +364,13 @@
 	return true
 }
 
-// breaks moves the share of attempts that break, on whatever engine, towards 1 for a break, 0 for an answer.
-func (c *Controller) breaks(fail float64) {
-	c.breakAll += breakGain / float64(max(len(c.live), 1)) * (fail - c.breakAll)
-}
-
 // learn takes what an outcome tells of an engine and of its class.
 func (c *Controller) learn(a *attempt, ev AttemptEnd) {
 	e, r := a.e, a.r
 	if ev.Load != nil {
 		e.report, e.reportAt = *ev.Load, c.now
 	}
+	c.strike(a, ev.Outcome)
 	switch ev.Outcome {
 	case Served:
 		c.blame(e, 0, failGain)
@@ -454,9 +447,11 @@
 	r.c.mean, r.c.seenAt = c.meanNow(r.c), c.now
 	r.c.mean += gain * (min(x, 20*r.c.mean) - r.c.mean)
 	r.c.pace += gain * (min(x, jamMost*r.c.best) - r.c.pace)
-	if r.c.seen < 30 || r.c.mean < r.c.best {
+	if r.c.seen < 8 || r.c.seen < 30 && !c.large() || r.c.mean < r.c.best {
 		r.c.best = r.c.mean
 	}
+	crowd := c.crowd * c.fade(c.crowdAt, evidenceLife)
+	c.crowd, c.crowdAt = crowd+crowdGain*(min(x/r.c.best, jamMost)-1-crowd), c.now
 }
 
 func (c *Controller) onNote(ev Note) {
@@ -571,6 +566,11 @@
 	return use{c.cores, c.memory, c.threads, c.granted}
 }
 
+// large tells whether so many gateways share the fleet that an even part of an engine is a sliver of a query.
+func (c *Controller) large() bool {
+	return 4*threadsPerCore*c.cores*c.share() < float64(len(c.live)*c.widest)
+}
+
 // wholeShare tells whether an even part of an engine is half of a query or more: then one rounds up on each
 // engine, else on all engines together. It goes by even parts, since all gateways would round up at once.
 func (c *Controller) wholeShare(r *request) bool {
@@ -580,17 +580,20 @@
 
 // bound is the threads a core that this gateway may run on average.
 func (c *Controller) bound() float64 {
-	p := c.prefer
+	p, most := c.prefer, threadsPerCore
 	jam := (1 + (p.pace/p.best-1)*c.fade(p.seenAt, evidenceLife) - jamFrom) / (jamFull - jamFrom)
-	return (threadsPerCore - (threadsPerCore-jamThreads)*min(max(jam, 0), 1)) * c.share()
+	if c.large() {
+		jam, most = (c.crowd*c.fade(c.crowdAt, evidenceLife)-crowdFrom)/(crowdFull-crowdFrom), looseThreads
+	}
+	return (most - (most-jamThreads)*min(max(jam, 0), 1)) * c.share()
 }
 
 // room tells whether an engine may take one more query of a class: rests after a refusal or failures, the
 // memory that this gateway may grant, and the thread bound, which gives way on a calm engine.
 func (c *Controller) room(e *engine, r *request) bool {
-	rests := c.now-e.failAt < 2*fullRest
-	if e.fullAt > 0 && c.now-e.fullAt < fullRest || rests && e.lost >= downAfter || c.failing(e) >= ejectAt &&
-		(len(e.running) > 0 || rests) && c.ejected() <= ejectMost*float64(len(c.live)) {
+	failed := c.now-e.failAt < 2*fullRest
+	if c.resting(e) || failed && e.lost >= downAfter || c.failing(e) >= ejectAt &&
+		(len(e.running) > 0 || failed) && c.ejected() <= ejectMost*float64(len(c.live)) {
 		return false
 	}
 	if c.now < e.warmAt && c.cfg.OverloadFactor > 0 && c.large() {
@@ -656,7 +659,7 @@
 // outcomes, where it would hear of each engine of a large fleet once in many seconds.
 func (c *Controller) nearby() []*engine {
 	n := len(c.live)
-	if size := min(max(int(c.bound()*c.cores), nearLeast), n); size != c.nearSize {
+	if size := min(max(int(threadsPerCore*c.share()*c.cores), nearLeast), n); size != c.nearSize {
 		c.near, c.nearSize = c.near[:0], size
 		for _, i := range ration.Deal(c.cfg.Instance, c.cfg.Gateways, n, size) {
 			c.near = append(c.near, c.live[i])
@@ -734,7 +737,7 @@
 	if e := c.leastOf(r, near, len(near)); e != nil && !c.clash(e, r) || len(near) == len(c.live) {
 		return e
 	}
-	return c.leastOf(r, c.live, draws)
+	return c.leastOf(r, c.live, max(draws, min(c.zonesOn(), 1)*len(c.live))) // all, where zones are cut off
 }
 
 // coldest is the cold engine, wherever it is, that this gateway has a ration of.
@@ -878,6 +881,7 @@
 	r.out++
 	e.running = append(e.running, a)
 	c.count(a, 1)
+	c.zone(e).Tried(millis(c.now), 1, zoneRests)
 	c.due = min(c.due, c.dueOf(r))
 	if e.lost >= downAfter {
 		e.failAt = c.now // one try a rest, whenever it ends
@@ -984,7 +988,7 @@
 	window := c.cfg.OverloadFor
 	since, most := c.now-window, c.coldRate()*e.cores*c.cfg.ColdFrom*c.cfg.OverloadFactor*window.Seconds()
 	if c.large() {
-		_, most = c.sizes()
+		most = c.largest()
 		rate := coldUse * 0.85 * c.share() * e.cores * c.warmth(e) / most
 		at, ok := e.ration.Chunk(millis(c.now), rate, millis(window))
 		if !ok {
@@ -1002,13 +1006,6 @@
 	return sum <= most
 }
 
-// large tells whether an even slice of a cold engine is less than two of the smallest queries.
-func (c *Controller) large() bool {
-	least, _ := c.sizes()
-	even := 0.85 * c.share() * c.cores / float64(max(len(c.live), 1)) * c.cfg.ColdFrom
-	return even*c.cfg.OverloadFactor*c.cfg.OverloadFor.Seconds() < 2*least
-}
-
 // coldRate is the work a core a second that this gateway takes to be its part of a warm engine's.
 func (c *Controller) coldRate() float64 {
 	rate := 0.5 * 0.85 * c.share()
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -22,6 +22,7 @@
 	join              float64 // share of the engines that are replaced between joinAt and joinAt + joinFor
 	restart           float64 // share of the gateways that start anew at joinAt
 	zone              bool    // a fifth of the engines is lost at joinAt, silent, and back cold after joinFor
+	split             bool    // a zone is cut off from the others for as long: its gateways reach its engines alone
 	joinAt, joinFor   time.Duration
 	hasty             float64 // share of clients that give up early from joinAt on
 	burst             float64 // traffic between the two, over the usual
@@ -127,6 +128,7 @@
 	n, ids  int
 	spans   []fleetSpan
 	fell    int
+	cut     bool    // zone z0 from the others
 	most    float64 // work sent to a cold engine in a window, over what it may be sent
 }
 
@@ -239,7 +241,16 @@
 
 func (f *fleet) reach(e *fleetEngine, x *fleetQuery) {
 	switch {
-	case e.silent:
+	case e.silent, f.cut && (e.Zone == "z0") != (x.router.cfg.Instance%5 == 0):
+		// Most find no connection, some wait in vain on one that they had; a load is not given up so soon.
+		switch o, wait := ConnectFailed, 400*ms; {
+		case f.rng.Float64() < 0.3 && x.router.cfg.Classes[x.class].Load:
+			f.after(2*time.Second, func() { f.ended(x, TimedOut) })
+		case f.rng.Float64() < 0.3:
+			f.after(420*ms, func() { f.ended(x, TimedOut) })
+		default:
+			f.after(wait, func() { f.ended(x, o) })
+		}
 		return
 	case e.dead:
 		f.ended(x, ConnectFailed)
@@ -470,17 +481,19 @@
 			})
 		})
 	}
-	if d.zone {
-		for i, e := range f.engines {
-			if i%5 != 0 {
-				continue
-			}
-			f.after(d.joinAt, func() { e.silent = true; e.running = nil })
-			f.after(d.joinAt+d.joinFor, func() {
-				e.silent, e.Born = false, f.now
-				f.announce(300*ms, e.Engine)
-			})
+	for i, e := range f.engines {
+		if i%5 != 0 || !d.zone {
+			continue
 		}
+		f.after(d.joinAt, func() { e.silent = true; e.running = nil })
+		f.after(d.joinAt+d.joinFor, func() {
+			e.silent, e.Born = false, f.now
+			f.announce(300*ms, e.Engine)
+		})
+	}
+	if d.split {
+		f.after(d.joinAt, func() { f.cut = true })
+		f.after(d.joinAt+d.joinFor, func() { f.cut = false })
 	}
 	for _, r := range f.routers {
 		if f.rng.Float64() >= d.restart {
@@ -512,11 +525,12 @@
 		served float64 // of the worth from joinAt on
 		after  float64 // in the last four seconds
 	}{
-		{"calm", func(d *fleetDay) { d.bad = 0 }, 0.97, 0.97},
-		{"join", func(d *fleetDay) { d.join, d.hasty = 0.6, 0.3 }, 0.70, 0.70},
-		{"roll", func(d *fleetDay) { d.join, d.bad, d.restart, d.burst = 0.5, 0, 0.3, 1.8 }, 0.75, 0.95},
-		{"herd", func(d *fleetDay) { d.restart = 0.7 }, 0.93, 0.95},
-		{"zone", func(d *fleetDay) { d.zone, d.joinFor = true, 5*time.Second }, 0.88, 0.80},
+		{"calm", func(d *fleetDay) { d.bad = 0 }, 0.98, 0.98},
+		{"join", func(d *fleetDay) { d.join, d.hasty = 0.6, 0.3 }, 0.77, 0.84},
+		{"roll", func(d *fleetDay) { d.join, d.bad, d.restart, d.burst = 0.5, 0, 0.3, 1.8 }, 0.74, 0.95},
+		{"herd", func(d *fleetDay) { d.restart = 0.7 }, 0.96, 0.97},
+		{"split", func(d *fleetDay) { d.split, d.bad, d.joinFor = true, 0, 6*time.Second }, 0.98, 0.98},
+		{"zone", func(d *fleetDay) { d.zone, d.joinFor = true, 5*time.Second }, 0.94, 0.93},
 	} {
 		t.Run(k.name, func(t *testing.T) {
 			t.Parallel()
--- a/brain/state.go
+++ b/brain/state.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"windflow/internal/decide/ration"
+	"windflow/internal/decide/rest"
 )
 
 // This file holds what the controller remembers and the bookkeeping of it; the decisions are in brain.go.
@@ -48,6 +49,7 @@
 	owed             bool // included again, and not sent anything since
 	coldAt, warmAt   time.Duration
 	lost             int // attempts in a row that met no connection, or lost it
+	rest             rest.Rest
 	running          []*attempt
 	threads, prefer  float64 // own running threads of other and preferred classes
 	work, granted    float64
@@ -129,10 +131,12 @@
 	cold                   []*engine          // see coldOnes
 	homeOf                 map[home][]*engine // by table group, until the list changes
 	cores, memory          float64
-	mostGrant              float64   // of any kind of engine to one query
-	threads, granted       float64   // own, over all engines
-	failed                 []*engine // those that were ejected of late
-	breakAll               float64   // share of attempts that break, over all engines
+	widest                 int                    // threads of the widest class
+	mostGrant              float64                // of any kind of engine to one query
+	threads, granted       float64                // own, over all engines
+	zones                  map[string]*rest.Group // of listed engines
+	failed                 []*engine              // those that were ejected of late
+	breakAll               float64                // share of attempts that break, over all engines
 	held, mostHeld         int
 	peerHeld               int           // by the other controller of this gateway, in an upgrade
 	wakeAt, due            time.Duration // when the timer is set for; when something is due
@@ -140,6 +144,8 @@
 	creditTo               bool
 	rate                   float64 // own arrivals a second, long run
 	quotas                 float64 // of all tenants
+	crowd                  float64 // how much longer answers take than on a calm fleet, of late
+	crowdAt                time.Duration
 	started, rateAt        time.Duration
 	pausedAt               time.Duration
 	done                   float64 // decayed work finished on warm engines
@@ -154,7 +160,7 @@
 	}
 	c := &Controller{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.Instance))),
 		tenants: map[string]*tenant{}, byID: map[EngineID]*engine{}, requests: map[RequestID]*request{},
-		keys: map[string]*keyLine{}, ids: ids{excluded: map[EngineID]bool{}}}
+		keys: map[string]*keyLine{}, zones: map[string]*rest.Group{}, ids: ids{excluded: map[EngineID]bool{}}}
 	for _, k := range cfg.Classes {
 		k.Threads = max(k.Threads, 1)
 		cl := &class{Class: k, estMean: 1, grantFix: 1, mean: firstGuess(k)}
@@ -178,6 +184,7 @@
 	}
 	for _, cl := range c.classes {
 		cl.ratio = cl.Aim.Seconds() / c.prefer.Aim.Seconds()
+		c.widest = max(c.widest, cl.Threads)
 	}
 	c.mostGrant = 0
 	for _, k := range c.cfg.Kinds {
@@ -357,7 +364,12 @@
 		return false
 	})
 	slices.SortFunc(c.engines, func(a, b *engine) int { return cmp.Compare(a.ID, b.ID) })
+	old := c.zones
+	c.zones = map[string]*rest.Group{}
 	for _, e := range c.engines {
+		if c.zones[e.Zone] = old[e.Zone]; old[e.Zone] == nil {
+			c.zones[e.Zone] = &rest.Group{}
+		}
 		if e.listed {
 			c.live, c.cores, c.memory = append(c.live, e), c.cores+e.cores, c.memory+e.memory
 		}
@@ -502,13 +514,12 @@
 	return sum
 }
 
-// sizes are the usual work of the smallest class and of the largest.
-func (c *Controller) sizes() (least, most float64) {
-	least = math.Inf(1)
+// largest is the usual work of the largest class.
+func (c *Controller) largest() (most float64) {
 	for _, k := range c.classes {
-		least, most = min(least, c.usual(k)), max(most, c.usual(k))
+		most = max(most, c.usual(k))
 	}
-	return least, most
+	return most
 }
 
 func millis(d time.Duration) float64 { return d.Seconds() * 1000 }
@@ -542,3 +553,68 @@
 	}
 	return c.cold
 }
+
+// firstGuess of a class's work is a quarter of the aim on each thread; the first answers correct it.
+func firstGuess(k Class) float64 { return k.Aim.Seconds() / 4 * float64(k.Threads) }
+
+// margin is kept before a client's end, so that a held request is answered in time.
+func (c *Controller) margin() time.Duration { return 2*housekeeping + 2*c.cfg.Tick }
+
+// breaks moves the share of attempts that break, on whatever engine, towards 1 for a break, 0 for an answer.
+func (c *Controller) breaks(fail float64) {
+	c.breakAll += breakGain / float64(max(len(c.live), 1)) * (fail - c.breakAll)
+}
+
+// zone is what is known of an engine's zone.
+func (c *Controller) zone(e *engine) *rest.Group {
+	if c.zones[e.Zone] == nil {
+		c.zones[e.Zone] = &rest.Group{} // an engine that has left the list while an answer of it was due
+	}
+	return c.zones[e.Zone]
+}
+
+// zonesOn counts the zones that rest.
+func (c *Controller) zonesOn() (n int) {
+	for _, g := range c.zones {
+		if g.On(millis(c.now)) {
+			n++
+		}
+	}
+	return n
+}
+
+// rests are those of an engine after strikes in a row, in milliseconds; zoneRests those of a zone once
+// zoneStrikes of its engines in a row gave no answer.
+var (
+	rests     = rest.Terms{First: 250, Most: 4000}
+	zoneRests = rest.Terms{First: 500, Most: 2000}
+)
+
+const zoneStrikes = 3
+
+// strike keeps what internal/decide/rest goes by: a gateway of a large fleet keeps off an engine that gave no
+// connection, no answer or no room, and off a zone where several gave none in a row. Its tries are few, and
+// all gateways' are many.
+func (c *Controller) strike(a *attempt, o Outcome) {
+	e, now := a.e, millis(c.now)
+	silent := o == ConnectFailed || o == TimedOut && !a.blamed && c.now+c.margin() < a.r.end
+	switch {
+	case o == Served:
+		e.rest.Answer()
+		c.zone(e).Answer()
+	case c.large() && (silent || o == Full):
+		jitter := 0.75 + c.rng.Float64()/2
+		e.rest.Strike(now, jitter, rests)
+		if silent {
+			c.zone(e).Strike(int64(e.ID), zoneStrikes, now, jitter, zoneRests)
+		}
+	}
+}
+
+// resting tells whether an engine was full a moment ago, or rests, alone or with its zone; where all zones
+// do, that is no reason.
+func (c *Controller) resting(e *engine) bool {
+	now := millis(c.now)
+	return e.fullAt > 0 && c.now-e.fullAt < fullRest || e.rest.On(now) ||
+		c.zone(e).On(now) && c.zonesOn() < len(c.zones)
+}
--- a/internal/decide/ration/ration_test.go
+++ b/internal/decide/ration/ration_test.go
@@ -42,7 +42,7 @@
 							n++
 						}
 					}
-					if want := flow * life/1000; math.Abs(n-want) > slack {
+					if want := flow * life / 1000; math.Abs(n-want) > slack {
 						t.Errorf("%d parties, %v chunks a second, restart %v: %v chunks in the window from %v, want %.1f", parties, flow, restart, n, from, want)
 						break
 					}
