--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -91,9 +91,11 @@
 	}
 	log, flush := opts.logger()
 	defer flush()
-	if _, err := growTable(cfg.Limits.Sockets); err != nil {
-		log.Warn("the table of descriptors was not grown", "err", err)
-	}
+	go func() { // beside the start, which needs few: the wait may take longer than an upgrade may
+		if _, err := growTable(cfg.Limits.Sockets); err != nil {
+			log.Warn("the table of descriptors was not grown", "err", err)
+		}
+	}()
 	r := newNode(cfg, own, opts, log.With("name", cfg.Name))
 	r.begin(true)
 	go func() {
