--- a/internal/node/descriptors.go
+++ b/internal/node/descriptors.go
@@ -10,8 +10,8 @@
 // memory, which counts against the process's limit, and no router comes near so many.
 const mostDescriptors = 1 << 16
 
-// growTable has the kernel grow the process's table of descriptors once, up to the limit that is in force, while nothing is
-// open yet. It guards against a router that stands still: the table doubles as descriptors are taken (64, 128, 256, ...),
+// growTable has the kernel grow the process's table of descriptors once, up to the limit that is in force, while few
+// are open. It runs beside the start, which must not wait for it. It guards against a router that stands still: the table doubles as descriptors are taken (64, 128, 256, ...),
 // and where several threads share it, the kernel first waits until no processor can still read the old one. That wait (an
 // RCU grace period, seen as synchronize_rcu under expand_files) lasts seconds on a busy machine now and then; all that open
 // a descriptor wait behind it, and socket is a raw call in Go, which keeps its processor.
