--- a/brain/brain.go
+++ b/brain/brain.go
@@ -187,7 +187,8 @@
 func (c *Controller) chill(e *engine, at time.Duration) {
 	e.coldAt, e.warmAt = at, max(e.warmAt, at+c.cfg.ColdFor)
 	e.slow, e.fail = 1, 0
-	e.ration = ration.Start(c.cfg.Instance, float64(mix(1, e.ID)>>11)/(1<<53), millis(at))
+	e.rest.Answer()
+	e.ration = ration.Start(c.cfg.Instance, c.cfg.Gateways, float64(mix(1, e.ID)>>11)/(1<<53), millis(at))
 }
 
 // ---- requests
@@ -557,15 +558,6 @@
 		use.threads+w <= calmRoom*c.bound()*use.cores+calmRoom*w
 }
 
-// usable is what the bounds on all own queries go by: in a large fleet the warm engines, since what cold ones
-// run goes by chunks.
-func (c *Controller) usable() use {
-	if c.large() {
-		return c.warm()
-	}
-	return use{c.cores, c.memory, c.threads, c.granted}
-}
-
 // large tells whether so many gateways share the fleet that an even part of an engine is a sliver of a query.
 func (c *Controller) large() bool {
 	return 4*threadsPerCore*c.cores*c.share() < float64(len(c.live)*c.widest)
@@ -580,12 +572,18 @@
 
 // bound is the threads a core that this gateway may run on average.
 func (c *Controller) bound() float64 {
+	jam, most := c.jam()
+	return (most - (most-jamThreads)*jam) * c.share()
+}
+
+// jam is how far the bound is down, from 0 to 1, and what it is without a jam.
+func (c *Controller) jam() (jam, most float64) {
 	p, most := c.prefer, threadsPerCore
-	jam := (1 + (p.pace/p.best-1)*c.fade(p.seenAt, evidenceLife) - jamFrom) / (jamFull - jamFrom)
+	jam = (1 + (p.pace/p.best-1)*c.fade(p.seenAt, evidenceLife) - jamFrom) / (jamFull - jamFrom)
 	if c.large() {
 		jam, most = (c.crowd*c.fade(c.crowdAt, evidenceLife)-crowdFrom)/(crowdFull-crowdFrom), looseThreads
 	}
-	return (most - (most-jamThreads)*min(max(jam, 0), 1)) * c.share()
+	return min(max(jam, 0), 1), most
 }
 
 // room tells whether an engine may take one more query of a class: rests after a refusal or failures, the
@@ -745,16 +743,14 @@
 	if !c.large() {
 		return nil
 	}
-	return c.leastOf(r, c.coldOnes(), len(c.cold))
+	cold := c.coldOnes()
+	return c.leastOf(r, cold, len(cold))
 }
 
 // leastOf looks at some of the engines, from a random one on, so that ties fall anywhere.
 func (c *Controller) leastOf(r *request, among []*engine, looks int) *engine {
 	var best *engine
-	least, from := 0.0, 0
-	if len(among) > 0 {
-		from = c.rng.IntN(len(among))
-	}
+	least, from := 0.0, c.rng.IntN(max(len(among), 1))
 	for i := range looks {
 		e := among[(from+i)%len(among)]
 		if !c.allowed(r, e) || !c.room(e, r) {
@@ -881,7 +877,7 @@
 	r.out++
 	e.running = append(e.running, a)
 	c.count(a, 1)
-	c.zone(e).Tried(millis(c.now), 1, zoneRests)
+	c.zone(e).Tried(millis(c.now), zoneRests)
 	c.due = min(c.due, c.dueOf(r))
 	if e.lost >= downAfter {
 		e.failAt = c.now // one try a rest, whenever it ends
@@ -980,7 +976,8 @@
 
 // coldAllows keeps what all gateways send to a cold engine within what it can take: each has its slice, which
 // sums over all of them to less, however unequal they are. In a large fleet, slices are rationed: they add up
-// until they are worth a query of the largest class, which may be spent on any within a window.
+// until they are worth a query of the largest class, to be spent on any within a window. What was due in two
+// windows, and one query more, may meet in one.
 func (c *Controller) coldAllows(r *request, e *engine) bool {
 	if c.now >= e.warmAt || c.cfg.OverloadFactor <= 0 {
 		return true
@@ -989,8 +986,9 @@
 	since, most := c.now-window, c.coldRate()*e.cores*c.cfg.ColdFrom*c.cfg.OverloadFactor*window.Seconds()
 	if c.large() {
 		most = c.largest()
-		rate := coldUse * 0.85 * c.share() * e.cores * c.warmth(e) / most
-		at, ok := e.ration.Chunk(millis(c.now), rate, millis(window))
+		can := 0.85 * e.cores * c.warmth(e)
+		rate := min(coldUse*can, (c.cfg.OverloadFactor*can-most/window.Seconds())/2)
+		at, ok := e.ration.Chunk(millis(c.now), rate*c.share()/most, millis(window))
 		if !ok {
 			return false
 		}
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -55,13 +55,11 @@
 type fleetEngine struct {
 	Engine
 	speed    float64
-	diesAt   time.Duration
 	dead     bool
 	silent   bool
 	fell     bool
 	running  []*fleetQuery
 	arrived  []spend
-	done     float64 // work of the current phase
 	coldSent float64
 }
 
@@ -76,15 +74,14 @@
 
 // fleetAsk is a client's try.
 type fleetAsk struct {
-	id        RequestID
-	class     int
-	work      float64
-	at, first time.Duration
-	aim, end  time.Duration
-	tries     int
-	hops      int
-	prefer    bool
-	done      bool
+	id       RequestID
+	class    int
+	work     float64
+	first    time.Duration
+	aim, end time.Duration
+	tries    int
+	hops     int
+	prefer   bool
 }
 
 type fleetEvent struct {
@@ -243,13 +240,13 @@
 	switch {
 	case e.silent, f.cut && (e.Zone == "z0") != (x.router.cfg.Instance%5 == 0):
 		// Most find no connection, some wait in vain on one that they had; a load is not given up so soon.
-		switch o, wait := ConnectFailed, 400*ms; {
+		switch {
 		case f.rng.Float64() < 0.3 && x.router.cfg.Classes[x.class].Load:
 			f.after(2*time.Second, func() { f.ended(x, TimedOut) })
 		case f.rng.Float64() < 0.3:
 			f.after(420*ms, func() { f.ended(x, TimedOut) })
 		default:
-			f.after(wait, func() { f.ended(x, o) })
+			f.after(400*ms, func() { f.ended(x, ConnectFailed) })
 		}
 		return
 	case e.dead:
@@ -305,8 +302,8 @@
 			return
 		}
 		last := false
-		if q := r.open[x.id]; q != nil && o == Served && !q.done {
-			last, q.done = true, true
+		if q := r.open[x.id]; q != nil && o == Served {
+			last = true
 			k := r.cfg.Classes[q.class]
 			gain := 0.0
 			if f.now <= q.aim {
@@ -345,7 +342,7 @@
 func (f *fleet) ask(r *fleetRouter, q *fleetAsk) {
 	k := r.cfg.Classes[q.class]
 	f.ids++
-	q.id, q.at = RequestID(fmt.Sprint(f.ids)), f.now
+	q.id = RequestID(fmt.Sprint(f.ids))
 	if q.tries == 0 {
 		q.first, q.end = f.now, f.now+time.Duration(0.8*float64(k.Deadline))
 		if f.rng.Float64() < f.day.hasty && f.now > time.Hour+f.day.joinAt {
--- a/brain/handover.go
+++ b/brain/handover.go
@@ -92,7 +92,8 @@
 			continue
 		}
 		if old.WarmAt > e.warmAt || old.WarmAt > c.now {
-			e.coldAt, e.warmAt = old.ColdAt, max(old.WarmAt, e.warmAt)
+			c.chill(e, min(old.ColdAt, c.now))
+			e.warmAt = max(old.WarmAt, e.warmAt)
 		}
 		if old.Slow > 0 && old.Fail >= 0 && old.Fail <= 1 && old.Lost >= 0 {
 			e.slow, e.slowAt, e.failAt, e.lost, e.owed = old.Slow, old.SlowAt, old.FailAt, old.Lost, old.Owed
--- a/brain/scale_test.go
+++ b/brain/scale_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -157,6 +158,7 @@
 				}
 				n++
 				id := RequestID(fmt.Sprint(i, "-", n))
+				c.Handle(at, Timer{Tag: tickTag}, nil) // those held too long are given up; else they block their queue
 				for _, a := range c.Handle(at, Arrival{Request: id, Class: "quick", TimeLeft: time.Second}, nil) {
 					if s, ok := a.(Send); ok {
 						if s.Engine > warm {
@@ -201,3 +203,109 @@
 		t.Errorf("%v allocations an event cycle with 8 engines, %v with 80", few, many)
 	}
 }
+
+// Cold engines that are small against a query stay under the rule's figure also where all gateways of a large fleet saved
+// their rations and spend them at once: what was due in two windows, and one query more, may meet in one.
+func TestRationsSpentAtOnce(t *testing.T) {
+	const gateways, window = 300, 1500 * ms
+	most, sent := 0.0, 0
+	for burst := range 40 {
+		born := 30 * time.Second
+		at := born + time.Second + time.Duration(burst)*100*ms
+		var sends []time.Duration
+		for i := range gateways {
+			cfg, _ := largeFleet(gateways, 1, i)
+			cfg.ColdFrom, cfg.ColdFor, cfg.OverloadFactor, cfg.OverloadFor = 0.4, 12*time.Second, 2, window
+			cfg.Classes[1].Aim, cfg.MaxAttempts = 4*time.Second, 0
+			c, err := New(cfg)
+			if err != nil {
+				t.Fatal(err)
+			}
+			cold := engines(1)
+			cold[0].Born = born
+			c.Handle(born+time.Second, EngineList{Mode: ListFull, Engines: cold}, nil)
+			for now := at; now < at+window; now += 50 * ms {
+				id := RequestID(fmt.Sprint(now))
+				for _, a := range c.Handle(now, Arrival{Request: id, Class: "big", TimeLeft: 15 * time.Second}, nil) {
+					if s, ok := a.(Send); ok {
+						sends = append(sends, now)
+						c.Handle(now, AttemptEnd{Request: s.Request, Outcome: Full}, nil)
+					}
+				}
+				c.Handle(now, Abort{Request: id}, nil)
+			}
+		}
+		warmth := 0.4 + 0.6*(at-born).Seconds()/12
+		most = max(most, 4*float64(len(sends))/(2*8*0.85*warmth*window.Seconds()))
+		sent += len(sends)
+	}
+	if most > 1 || sent == 0 {
+		t.Errorf("%.2f of what a cold engine may be sent in a window; %d queries in all", most, sent)
+	}
+}
+
+// A gateway of a large fleet keeps off what gave no answer, alone or as a zone; not where all that is listed rests, not after a
+// ban has ended, and an engine that is no longer listed has no say.
+func TestRestsInALargeFleet(t *testing.T) {
+	cfg, list := largeFleet(300, 8, 0)
+	strikes := func() *world {
+		w := newWorld(t, cfg)
+		w.list(ListFull, list...)
+		for range 12 {
+			for _, e := range w.c.live {
+				if e.Zone == "z0" {
+					w.c.strike(&attempt{e: e, r: &request{}}, ConnectFailed)
+				}
+			}
+		}
+		return w
+	}
+	w := strikes()
+	if e, other := w.c.byID[1], w.c.byID[2]; !w.c.resting(e) || w.c.resting(other) {
+		t.Fatal("zone z0 does not rest, or z1 does")
+	}
+	if w.c.byID[7].rest.Answer(); !w.c.resting(w.c.byID[7]) {
+		t.Error("an engine of a zone that rests is used")
+	}
+	gone := list[0] // the last of z1 is gone, and z0 rests
+	left := []Engine{gone, list[2], list[4]}
+	w.list(ListFull, left...)
+	w.c.byID[3].rest.Answer()
+	if w.c.resting(w.c.byID[3]) {
+		t.Error("all zones that are listed rest, and the router keeps off all")
+	}
+	w = strikes()
+	w.handle(Exclude{Engine: 1})
+	w.handle(Include{Engine: 1})
+	if w.c.byID[1].rest.On(millis(w.now)) {
+		t.Error("an engine rests after its ban has ended")
+	}
+}
+
+// Successors take over what their predecessors hold to be cold with the ration begun when that began, each at its own point: they
+// do not all have one at once, whenever they come.
+func TestTakeoverBeginsNoBurst(t *testing.T) {
+	most := 0
+	for k := range 40 {
+		spent := 0
+		for i := range 40 {
+			cfg, list := largeFleet(300, 8, 7*i)
+			cfg.ColdFor, cfg.ColdFrom, cfg.OverloadFactor, cfg.OverloadFor = 12*time.Second, 0.36, 2, 1500*ms
+			w := newWorld(t, cfg)
+			w.now += time.Duration(k) * 10 * time.Second
+			w.list(ListFull, list...)
+			w.handle(Takeover{Snapshot: Snapshot{Engines: []EngineSnapshot{{ID: 1, ColdAt: w.now, WarmAt: w.now + 12*time.Second, Slow: 1}}}})
+			for range 100 {
+				w.now += 100 * ms
+				w.ask("big", "")
+			}
+			if slices.ContainsFunc(w.sends, func(s Send) bool { return s.Engine == 1 }) {
+				spent++
+			}
+		}
+		most = max(most, spent)
+	}
+	if most == 0 || most > 6 {
+		t.Errorf("%d of 40 successors sent to a cold engine within ten seconds, want some and not all", most)
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -367,10 +367,10 @@
 	old := c.zones
 	c.zones = map[string]*rest.Group{}
 	for _, e := range c.engines {
-		if c.zones[e.Zone] = old[e.Zone]; old[e.Zone] == nil {
-			c.zones[e.Zone] = &rest.Group{}
-		}
 		if e.listed {
+			if c.zones[e.Zone] = cmp.Or(c.zones[e.Zone], old[e.Zone]); c.zones[e.Zone] == nil {
+				c.zones[e.Zone] = &rest.Group{}
+			}
 			c.live, c.cores, c.memory = append(c.live, e), c.cores+e.cores, c.memory+e.memory
 		}
 	}
@@ -514,6 +514,15 @@
 	return sum
 }
 
+// usable is what the bounds on all own queries go by: in a large fleet the warm engines, since what cold ones
+// run is rationed.
+func (c *Controller) usable() use {
+	if c.large() {
+		return c.warm()
+	}
+	return use{c.cores, c.memory, c.threads, c.granted}
+}
+
 // largest is the usual work of the largest class.
 func (c *Controller) largest() (most float64) {
 	for _, k := range c.classes {
@@ -565,12 +574,12 @@
 	c.breakAll += breakGain / float64(max(len(c.live), 1)) * (fail - c.breakAll)
 }
 
-// zone is what is known of an engine's zone.
+// zone is what is known of an engine's zone; of one with no listed engine nothing is kept.
 func (c *Controller) zone(e *engine) *rest.Group {
-	if c.zones[e.Zone] == nil {
-		c.zones[e.Zone] = &rest.Group{} // an engine that has left the list while an answer of it was due
+	if g := c.zones[e.Zone]; g != nil {
+		return g
 	}
-	return c.zones[e.Zone]
+	return &rest.Group{}
 }
 
 // zonesOn counts the zones that rest.
--- a/brain/view.go
+++ b/brain/view.go
@@ -36,7 +36,7 @@
 	v.Engines, v.Held, v.Jam, v.Bound = v.Engines[:0], c.held, 0, 0
 	if share := c.share(); c.prefer != nil && share > 0 {
 		v.Bound = c.bound()
-		v.Jam = min(max((threadsPerCore-v.Bound/share)/(threadsPerCore-jamThreads), 0), 1)
+		v.Jam, _ = c.jam()
 	}
 	for _, e := range c.engines {
 		if e.State == Gone {
--- a/cmd/windflowctl/threads.go
+++ b/cmd/windflowctl/threads.go
@@ -24,8 +24,9 @@
 	cmd := &cobra.Command{
 		Use:   "threads",
 		Short: "Watch what threads of running routers wait for in the kernel",
-		Long: "Samples the state and the wait channel of each thread, from /proc. A wait that the same thread is in for --least or more\n" +
-			"is printed once it ends; at the end, the samples by wait channel. It needs the right to read them, mostly root's.",
+		Long: "Samples the state and the wait channel of each thread, from /proc. A wait that nothing interrupts, in which a thread is\n" +
+			"found for --least or more, is printed once it ends; at the end come the samples by wait channel. It needs the right to\n" +
+			"read them, mostly root's.",
 		Args: cobra.NoArgs,
 		RunE: func(c *cobra.Command, _ []string) error {
 			if every <= 0 || lasting < every {
--- a/internal/decide/ration/ration.go
+++ b/internal/decide/ration/ration.go
@@ -3,7 +3,7 @@
 // query. A part adds up until it is worth a whole chunk, which the party may spend for a while; what is left then is void.
 //
 // Parties begin at points of their first chunk that lie evenly between nothing and a whole one. So what all of them are
-// given in any span of time is the flow in that span, give or take a chunk or two, and it comes evenly. One that starts anew
+// given in any span of time is the flow in that span, give or take a chunk, and it comes evenly. One that starts anew
 // or hears late begins at its point again: it gets no more than the flow is worth, and no burst.
 //
 // There is no clock in here, and no chance: times are handed in, in milliseconds on any clock that does not go back.
@@ -14,7 +14,8 @@
 	"slices"
 )
 
-// Ration is one party's part of a flow. The zero Ration is that of a party that begins with nothing.
+// Ration is one party's part of a flow. It begins with Start: the zero Ration would be reckoned
+// from time 0 on.
 type Ration struct {
 	part  float64 // of the next chunk, from 0 to 1
 	until float64 // up to when it is reckoned
@@ -23,9 +24,9 @@
 }
 
 // Start gives the ration of a party from a time on. Parties are numbered from 0; those of one flow share a salt from 0 to 1,
-// which has other flows begin elsewhere.
-func Start(party int, salt float64, at float64) Ration {
-	_, part := math.Modf(float64(party)*math.Phi + salt)
+// which has other flows begin with another party.
+func Start(party, parties int, salt, at float64) Ration {
+	_, part := math.Modf(float64(party)/float64(max(parties, 1)) + salt)
 	return Ration{part: math.Abs(part), until: at}
 }
 
--- a/internal/decide/ration/ration_test.go
+++ b/internal/decide/ration/ration_test.go
@@ -7,8 +7,8 @@
 	"testing"
 )
 
-// However many parties there are, however often each asks, and if seven in ten start anew: what all are given in a window is
-// what the flow is worth there, within a few chunks, from the first second on; and what they spend late stays under two windows' worth.
+// However many parties there are, and however often each asks: what all are given in a window is what the flow is worth
+// there, within one chunk. Where seven in ten start anew, chance comes to it.
 func TestSumOverParties(t *testing.T) {
 	const life, lasts = 1500.0, 12_000.0
 	for _, parties := range []int{40, 270, 300, 1000} {
@@ -17,13 +17,13 @@
 				rng := rand.New(rand.NewPCG(uint64(parties), uint64(flow)))
 				var given []float64
 				for i := range parties {
-					r := Start(i, 0.3, 0)
+					r := Start(i, parties, 0.3, 0)
 					every := float64(1 + rng.IntN(400)) // how often it asks
 					last := -1.0
 					anew := restart && rng.Float64() < 0.7
 					for now := 0.0; now < lasts; now += every {
 						if anew && now > 5000 {
-							r, anew = Start(i, 0.3, now), false
+							r, anew = Start(i, parties, 0.3, now), false
 						}
 						if since, ok := r.Chunk(now, flow/float64(parties), life); ok && since != last {
 							given, last = append(given, since), since
@@ -31,7 +31,7 @@
 					}
 				}
 				// One that starts anew comes with another offset in time: chance takes the place of evenness.
-				slack := 3.0
+				slack := 1.01
 				if restart {
 					slack += 3 * math.Sqrt(flow*life/1000)
 				}
@@ -53,7 +53,7 @@
 }
 
 func TestChunkIsVoidAfterItsLife(t *testing.T) {
-	r := Start(0, 0, 0)
+	r := Start(0, 1, 0, 0)
 	for _, k := range []struct {
 		at, life, since float64
 		ok              bool
--- a/internal/decide/rest/rest.go
+++ b/internal/decide/rest/rest.go
@@ -51,9 +51,9 @@
 }
 
 // Tried notes that a member is tried. While the group is in doubt, it rests meanwhile: one try at a time tells enough.
-func (g *Group) Tried(now, jitter float64, t Terms) {
+func (g *Group) Tried(now float64, t Terms) {
 	if g.rest.row > 0 {
-		g.rest.till = max(g.rest.till, now+jitter*t.First)
+		g.rest.till = max(g.rest.till, now+t.First)
 	}
 }
 
--- a/internal/decide/rest/rest_test.go
+++ b/internal/decide/rest/rest_test.go
@@ -53,7 +53,7 @@
 	if g.On(250) {
 		t.Error("strikes of what was under way lengthened the rest")
 	}
-	g.Tried(260, 1, terms)
+	g.Tried(260, terms)
 	if !g.On(300) || g.On(510) {
 		t.Error("while one is tried, others are not kept off")
 	}
@@ -64,7 +64,7 @@
 	if g.Answer(); g.On(300) {
 		t.Error("it rests after an answer")
 	}
-	if g.Tried(300, 1, terms); g.On(300) {
+	if g.Tried(300, terms); g.On(300) {
 		t.Error("a group that is not in doubt rests for a try")
 	}
 }
