Leave engines and zones that gave no answer out of a large fleet's bound on threads

Cause: usable() in brain/state.go sums up all warm engines in the list, also those that a router has seen to be silent. Ruled out: failed connects as such (279 in the fleet), sends answered full (none), cold engines overwhelmed (rule kept). Change: an engine whose last try got no answer, and a zone that rested and has not answered since, are not counted.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -186,7 +186,7 @@
 // chill treats an engine as just started: its history is void.
 func (c *Controller) chill(e *engine, at time.Duration) {
 	e.coldAt, e.warmAt = at, max(e.warmAt, at+c.cfg.ColdFor)
-	e.slow, e.fail = 1, 0
+	e.slow, e.fail, e.silent = 1, 0, false
 	e.rest.Answer()
 	e.ration = ration.Start(c.cfg.Instance, c.cfg.Gateways, float64(mix(1, e.ID)>>11)/(1<<53), millis(at))
 }
@@ -877,7 +877,7 @@
 	r.out++
 	e.running = append(e.running, a)
 	c.count(a, 1)
-	c.zone(e).Tried(millis(c.now), zoneRests)
+	e.zone.Tried(millis(c.now), zoneRests)
 	c.due = min(c.due, c.dueOf(r))
 	if e.lost >= downAfter {
 		e.failAt = c.now // one try a rest, whenever it ends
--- a/brain/fleet_test.go
+++ b/brain/fleet_test.go
@@ -21,8 +21,10 @@
 	bad               float64 // share of the engines that take three times as long
 	join              float64 // share of the engines that are replaced between joinAt and joinAt + joinFor
 	restart           float64 // share of the gateways that start anew at joinAt
-	zone              bool    // a fifth of the engines is lost at joinAt, silent, and back cold after joinFor
-	split             bool    // a zone is cut off from the others for as long: its gateways reach its engines alone
+	zone              bool    // zone z0 is lost at joinAt, silent, and back cold after joinFor
+	zones             int
+	told              time.Duration // how long after that lists say so; 0: never
+	split             bool          // a zone is cut off from the others for as long: its gateways reach its engines alone
 	joinAt, joinFor   time.Duration
 	hasty             float64 // share of clients that give up early from joinAt on
 	burst             float64 // traffic between the two, over the usual
@@ -31,7 +33,7 @@
 const (
 	fleetTick  = 5 * ms
 	fleetCores = 24
-	fleetSlots = 96
+	fleetSlots = 4 * fleetCores
 	fleetKnee  = 2.0 // threads a core past which an engine does less
 	fleetIO    = 1.5 // a query's work over the part of it that needs a core: the rest waits for disks
 )
@@ -167,7 +169,7 @@
 }
 
 func (f *fleet) addEngine(id EngineID, i int) *fleetEngine {
-	e := &fleetEngine{Engine: Engine{ID: id, Kind: "k", Zone: fmt.Sprint("z", i%5), Cell: i % 5, Size: 1}, speed: 0.9 + 0.2*f.rng.Float64()}
+	e := &fleetEngine{Engine: Engine{ID: id, Kind: "k", Zone: fmt.Sprint("z", i%f.day.zones), Cell: i % f.day.zones, Size: 1}, speed: 0.9 + 0.2*f.rng.Float64()}
 	if f.rng.Float64() < f.day.bad {
 		e.speed /= 3
 	}
@@ -238,7 +240,7 @@
 
 func (f *fleet) reach(e *fleetEngine, x *fleetQuery) {
 	switch {
-	case e.silent, f.cut && (e.Zone == "z0") != (x.router.cfg.Instance%5 == 0):
+	case e.silent, f.cut && (e.Zone == "z0") != (x.router.cfg.Instance%f.day.zones == 0):
 		// Most find no connection, some wait in vain on one that they had; a load is not given up so soon.
 		switch {
 		case f.rng.Float64() < 0.3 && x.router.cfg.Classes[x.class].Load:
@@ -478,13 +480,16 @@
 			})
 		})
 	}
-	for i, e := range f.engines {
-		if i%5 != 0 || !d.zone {
+	for _, e := range f.engines {
+		if e.Zone != "z0" || !d.zone {
 			continue
 		}
 		f.after(d.joinAt, func() { e.silent = true; e.running = nil })
+		if d.told > 0 {
+			f.after(d.joinAt+d.told, func() { e.State = Gone; f.announce(0, e.Engine) })
+		}
 		f.after(d.joinAt+d.joinFor, func() {
-			e.silent, e.Born = false, f.now
+			e.silent, e.State, e.Born = false, Live, f.now
 			f.announce(300*ms, e.Engine)
 		})
 	}
@@ -515,7 +520,7 @@
 // are new, one that is restarted, one that loses a zone. It guards against storms of the gateways' own making, and against
 // cold engines that stand unused or fall over.
 func TestFleetServes(t *testing.T) {
-	day := fleetDay{seed: 1, gateways: 270, engines: 80, load: 0.6, lasts: 26 * time.Second, bad: 0.125, joinAt: 6 * time.Second, joinFor: 7 * time.Second}
+	day := fleetDay{seed: 1, gateways: 270, engines: 80, zones: 5, load: 0.6, lasts: 26 * time.Second, bad: 0.125, joinAt: 6 * time.Second, joinFor: 7 * time.Second}
 	for _, k := range []struct {
 		name   string
 		change func(*fleetDay)
@@ -528,6 +533,9 @@
 		{"herd", func(d *fleetDay) { d.restart = 0.7 }, 0.96, 0.97},
 		{"split", func(d *fleetDay) { d.split, d.bad, d.joinFor = true, 0, 6*time.Second }, 0.98, 0.98},
 		{"zone", func(d *fleetDay) { d.zone, d.joinFor = true, 5*time.Second }, 0.94, 0.93},
+		{"half of a small fleet", func(d *fleetDay) {
+			d.gateways, d.engines, d.zones, d.zone, d.told, d.joinFor, d.burst = 80, 30, 2, true, 3*time.Second, 7*time.Second, 1.3
+		}, 0.72, 0.95},
 	} {
 		t.Run(k.name, func(t *testing.T) {
 			t.Parallel()
--- a/brain/state.go
+++ b/brain/state.go
@@ -50,6 +50,8 @@
 	coldAt, warmAt   time.Duration
 	lost             int // attempts in a row that met no connection, or lost it
 	rest             rest.Rest
+	zone             *rest.Group
+	silent           bool // gave no answer to the last try
 	running          []*attempt
 	threads, prefer  float64 // own running threads of other and preferred classes
 	work, granted    float64
@@ -374,6 +376,11 @@
 			c.live, c.cores, c.memory = append(c.live, e), c.cores+e.cores, c.memory+e.memory
 		}
 	}
+	for _, e := range c.engines {
+		if e.zone = c.zones[e.Zone]; e.zone == nil {
+			e.zone = &rest.Group{} // of a zone with no listed engine nothing is kept
+		}
+	}
 }
 
 func secs(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
@@ -506,7 +513,7 @@
 // warm sums up the engines that are warm.
 func (c *Controller) warm() (sum use) {
 	for _, e := range c.live {
-		if c.now >= e.warmAt {
+		if c.now >= e.warmAt && !c.doubted(e) {
 			sum.cores, sum.memory = sum.cores+e.cores, sum.memory+e.memory
 			sum.threads, sum.granted = sum.threads+e.threads, sum.granted+e.granted
 		}
@@ -514,6 +521,9 @@
 	return sum
 }
 
+// doubted tells whether nothing is known to run on an engine: it, or its zone, last gave no answer.
+func (c *Controller) doubted(e *engine) bool { return c.large() && (e.silent || e.zone.Doubted()) }
+
 // usable is what the bounds on all own queries go by: in a large fleet the warm engines, since what cold ones
 // run is rationed.
 func (c *Controller) usable() use {
@@ -574,14 +584,6 @@
 	c.breakAll += breakGain / float64(max(len(c.live), 1)) * (fail - c.breakAll)
 }
 
-// zone is what is known of an engine's zone; of one with no listed engine nothing is kept.
-func (c *Controller) zone(e *engine) *rest.Group {
-	if g := c.zones[e.Zone]; g != nil {
-		return g
-	}
-	return &rest.Group{}
-}
-
 // zonesOn counts the zones that rest.
 func (c *Controller) zonesOn() (n int) {
 	for _, g := range c.zones {
@@ -610,12 +612,14 @@
 	switch {
 	case o == Served:
 		e.rest.Answer()
-		c.zone(e).Answer()
+		e.zone.Answer()
+		e.silent = false
 	case c.large() && (silent || o == Full):
 		jitter := 0.75 + c.rng.Float64()/2
 		e.rest.Strike(now, jitter, rests)
 		if silent {
-			c.zone(e).Strike(int64(e.ID), zoneStrikes, now, jitter, zoneRests)
+			e.silent = true
+			e.zone.Strike(int64(e.ID), zoneStrikes, now, jitter, zoneRests)
 		}
 	}
 }
@@ -625,5 +629,5 @@
 func (c *Controller) resting(e *engine) bool {
 	now := millis(c.now)
 	return e.fullAt > 0 && c.now-e.fullAt < fullRest || e.rest.On(now) ||
-		c.zone(e).On(now) && c.zonesOn() < len(c.zones)
+		e.zone.On(now) && c.zonesOn() < len(c.zones)
 }
--- a/internal/decide/rest/rest.go
+++ b/internal/decide/rest/rest.go
@@ -62,3 +62,6 @@
 
 // On tells whether the group rests.
 func (g *Group) On(now float64) bool { return g.rest.On(now) }
+
+// Doubted tells whether the group rested and no member answered since.
+func (g *Group) Doubted() bool { return g.rest.row > 0 }
--- a/internal/decide/rest/rest_test.go
+++ b/internal/decide/rest/rest_test.go
@@ -68,3 +68,19 @@
 		t.Error("a group that is not in doubt rests for a try")
 	}
 }
+
+// A group is in doubt from its first rest until a member answers, also while it does not rest.
+func TestGroupDoubted(t *testing.T) {
+	var g Group
+	g.Strike(1, 2, 0, 1, Terms{First: 100, Most: 400})
+	if g.Doubted() {
+		t.Error("in doubt after one strike of two")
+	}
+	g.Strike(2, 2, 10, 1, Terms{First: 100, Most: 400})
+	if !g.Doubted() || g.On(1000) || !g.Doubted() {
+		t.Error("not in doubt after its rest")
+	}
+	if g.Answer(); g.Doubted() {
+		t.Error("in doubt after an answer")
+	}
+}
