Keep homes of table groups from five near engines on; leave few silent zones their part

Change: homes from five near engines on; a zone in doubt counts out where more than a quarter and at most half of the zones are. warm() asks for that once: asking for each engine made the module's tests four times slower.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -91,7 +91,7 @@
 	nearLeast, nearFew = 8, 3
 	// homePart and loadPart are the shares of the engines that read a table group and that load it: readers
 	// find it warm there, and loads, which make readers of the group stand still, run on others.
-	homePart, loadPart = 0.5, 0.5
+	homePart, loadPart, homesFrom = 0.5, 0.5, 5
 	// homesMost bounds the table groups whose engines are remembered: statements may name any number.
 	homesMost = 1024
 	// draws is how many engines are drawn for two with room, and looked at when held queries are sent.
@@ -670,10 +670,10 @@
 }
 
 // homes are the engines nearby that a query's table group is read from or, for a load, loaded on: readers
-// take one end of their ranks, loads the other. In a large fleet each gateway would have others: all do.
+// take one end of their ranks, loads the other. Of few all are: halves of three or four would jam.
 func (c *Controller) homes(r *request) []*engine {
 	near := c.nearby()
-	if r.group == 0 || len(near) < 3 || c.large() {
+	if r.group == 0 || len(near) < 3 || c.large() && len(near) < homesFrom {
 		return near
 	}
 	key := home{r.group, r.c.Load}
--- a/brain/state.go
+++ b/brain/state.go
@@ -510,10 +510,24 @@
 // usual is the class's usual work.
 func (c *Controller) usual(cl *class) float64 { return cl.estMean * cl.best }
 
-// warm sums up the engines that are warm.
+// zonesLost tells whether so many zones give no answer that their engines are rather lost than cut off: where
+// few zones or most of them are silent, gateways beyond a cut link leave these engines their part.
+func (c *Controller) zonesLost() bool {
+	n := 0
+	for _, g := range c.zones {
+		if g.Doubted() {
+			n++
+		}
+	}
+	return 4*n > len(c.zones) && 2*n <= len(c.zones)
+}
+
+// warm sums up the engines that are warm; in a large fleet those that last gave no answer, alone or with
+// their zone, are left out: others bear their part.
 func (c *Controller) warm() (sum use) {
+	large, lost := c.large(), c.zonesLost()
 	for _, e := range c.live {
-		if c.now >= e.warmAt && !c.doubted(e) {
+		if c.now >= e.warmAt && !(large && (e.silent || lost && e.zone.Doubted())) {
 			sum.cores, sum.memory = sum.cores+e.cores, sum.memory+e.memory
 			sum.threads, sum.granted = sum.threads+e.threads, sum.granted+e.granted
 		}
@@ -521,9 +535,6 @@
 	return sum
 }
 
-// doubted tells whether nothing is known to run on an engine: it, or its zone, last gave no answer.
-func (c *Controller) doubted(e *engine) bool { return c.large() && (e.silent || e.zone.Doubted()) }
-
 // usable is what the bounds on all own queries go by: in a large fleet the warm engines, since what cold ones
 // run is rationed.
 func (c *Controller) usable() use {
