Leave engines out of a large fleet's bound by lost zones only, not one by one

Found by reading the change again: warm() in brain/state.go left out each engine that had given no answer, and so undid what zonesLost says a line before. With 1 of 5 zones cut off the bound lost a fifth, with 4 of 5 it lost four fifths, with all silent it was 0. Change: the flag of single engines is gone; what is left is derived from the zones. Result: TestBoundWithoutLostZones fails before in five of its cases.

--- a/brain/brain.go
+++ b/brain/brain.go
@@ -186,7 +186,7 @@
 // chill treats an engine as just started: its history is void.
 func (c *Controller) chill(e *engine, at time.Duration) {
 	e.coldAt, e.warmAt = at, max(e.warmAt, at+c.cfg.ColdFor)
-	e.slow, e.fail, e.silent = 1, 0, false
+	e.slow, e.fail = 1, 0
 	e.rest.Answer()
 	e.ration = ration.Start(c.cfg.Instance, c.cfg.Gateways, float64(mix(1, e.ID)>>11)/(1<<53), millis(at))
 }
--- a/brain/scale_test.go
+++ b/brain/scale_test.go
@@ -309,3 +309,37 @@
 		t.Errorf("%d of 40 successors sent to a cold engine within ten seconds, want some and not all", most)
 	}
 }
+
+// The bound of a large fleet counts out the engines of zones that are lost, not those beyond a link that may be cut: of few
+// zones, or of most. What a gateway saw of an engine alone does not undo that.
+func TestBoundWithoutLostZones(t *testing.T) {
+	for _, k := range []struct{ zones, silent, want int }{{5, 0, 60}, {5, 1, 60}, {5, 2, 36}, {5, 3, 60}, {5, 4, 60}, {2, 1, 30}, {2, 2, 60}, {1, 1, 60}} {
+		cfg, list := largeFleet(250, 60, 3)
+		for i := range list {
+			list[i].Zone = fmt.Sprint("z", i%k.zones)
+		}
+		w := newWorld(t, cfg)
+		w.list(ListFull, list...)
+		c := w.c
+		c.now = w.now
+		if !c.large() {
+			t.Fatal("the fleet is not large")
+		}
+		all := c.usable().cores
+		r := &request{c: c.prefer, end: time.Hour * 1000}
+		for i, e := range c.live {
+			if i%k.zones < k.silent {
+				c.strike(&attempt{r: r, e: e}, ConnectFailed)
+			}
+		}
+		if got := c.usable().cores; got != all*float64(k.want)/60 {
+			t.Errorf("%d of %d zones silent: %g of %g cores counted, want those of %d engines", k.silent, k.zones, got, all, k.want)
+		}
+		for _, e := range c.live {
+			c.strike(&attempt{r: r, e: e}, Served)
+		}
+		if got := c.usable().cores; got != all {
+			t.Errorf("%d of %d zones silent, then heard: %g of %g cores counted", k.silent, k.zones, got, all)
+		}
+	}
+}
--- a/brain/state.go
+++ b/brain/state.go
@@ -51,7 +51,6 @@
 	lost             int // attempts in a row that met no connection, or lost it
 	rest             rest.Rest
 	zone             *rest.Group
-	silent           bool // gave no answer to the last try
 	running          []*attempt
 	threads, prefer  float64 // own running threads of other and preferred classes
 	work, granted    float64
@@ -522,12 +521,12 @@
 	return 4*n > len(c.zones) && 2*n <= len(c.zones)
 }
 
-// warm sums up the engines that are warm; in a large fleet those that last gave no answer, alone or with
-// their zone, are left out: others bear their part.
+// warm sums up the engines that are warm; in a large fleet those of zones that are lost are left out: others
+// bear their part.
 func (c *Controller) warm() (sum use) {
-	large, lost := c.large(), c.zonesLost()
+	lost := c.large() && c.zonesLost()
 	for _, e := range c.live {
-		if c.now >= e.warmAt && !(large && (e.silent || lost && e.zone.Doubted())) {
+		if c.now >= e.warmAt && !(lost && e.zone.Doubted()) {
 			sum.cores, sum.memory = sum.cores+e.cores, sum.memory+e.memory
 			sum.threads, sum.granted = sum.threads+e.threads, sum.granted+e.granted
 		}
@@ -624,12 +623,10 @@
 	case o == Served:
 		e.rest.Answer()
 		e.zone.Answer()
-		e.silent = false
 	case c.large() && (silent || o == Full):
 		jitter := 0.75 + c.rng.Float64()/2
 		e.rest.Strike(now, jitter, rests)
 		if silent {
-			e.silent = true
 			e.zone.Strike(int64(e.ID), zoneStrikes, now, jitter, zoneRests)
 		}
 	}
