Decide a configuration by revision: log, leases, verdict and follower

internal/decide/rollout is pure: the replicated log with compare-and-set, remembered IDs, reverts and compaction, what a follower gets, whose word counts and for how long, when a revision is in force everywhere, and the follower's own machine.

--- /dev/null
+++ b/internal/decide/rollout/change.go
@@ -0,0 +1,125 @@
+// Package rollout decides how a configuration by revision comes to the routers: a log of revisions as the keepers replicate
+// it, what a follower gets that holds another revision, whose word counts for how long, when a revision may be called in
+// force everywhere, and what a follower does with what it is offered. It reads no clock, draws no chance and does no I/O: times
+// come in as milliseconds, jitter as a number. None of its types may be used by two goroutines at once.
+package rollout
+
+import (
+	"encoding/json"
+	"fmt"
+)
+
+// Change is a proposal for a revision, as operators send it in JSON. It puts and removes entries, or reverts to the content of
+// a former revision; one of the two has to be there.
+type Change struct {
+	// ID makes a repeated call one change: of the latest MaxIDs changes none is made twice. 1 to MaxID bytes.
+	ID string `json:"id"`
+	// Expect is the revision that has to be in force for the change to be made; nil stands for any.
+	Expect *uint64 `json:"expect,omitempty"`
+	// Put holds new values by JSON pointer (RFC 6901); see CheckPointer for the places that there are.
+	Put map[string]json.RawMessage `json:"put,omitempty"`
+	// Remove names entries to take out; each has to be there.
+	Remove []string `json:"remove,omitempty"`
+	// RevertTo asks for a new revision with the content of that one; Put and Remove are empty then.
+	RevertTo *uint64 `json:"revert_to,omitempty"`
+	// Note says in the operator's words why; at most MaxNote bytes.
+	Note string `json:"note,omitempty"`
+	// AtMS is when the keeper proposed it, in Unix milliseconds of its clock. It is shown and decides nothing.
+	AtMS int64 `json:"at_ms"`
+}
+
+// FaultKind says what kind of wrong a Fault is.
+type FaultKind string
+
+const (
+	// FaultInvalid is a change that is wrong in itself or doesn't fit the document.
+	FaultInvalid FaultKind = "invalid"
+	// FaultConflict is a change that expects another revision; Fault.Revision is the one in force.
+	FaultConflict FaultKind = "conflict"
+	// FaultCompacted asks for a revision that is no longer kept; Fault.Revision is the oldest that is.
+	FaultCompacted FaultKind = "compacted"
+	// FaultReused is an ID that another change has had; Fault.Revision is that one's revision.
+	FaultReused FaultKind = "reused"
+)
+
+// Fault is why a change or a question got no revision. It implements error.
+type Fault struct {
+	Kind     FaultKind `json:"kind"`
+	Pointer  string    `json:"pointer,omitempty"` // the entry at fault, where it is one
+	Reason   string    `json:"reason"`            // in plain words, with the field
+	Revision uint64    `json:"revision"`          // what it is depends on the kind
+}
+
+// Error gives the fault in one line.
+func (f *Fault) Error() string {
+	if f.Pointer != "" {
+		return fmt.Sprintf("%s: %s: %s", f.Kind, f.Pointer, f.Reason)
+	}
+	return fmt.Sprintf("%s: %s", f.Kind, f.Reason)
+}
+
+func invalid(pointer, format string, a ...any) *Fault {
+	return &Fault{Kind: FaultInvalid, Pointer: pointer, Reason: fmt.Sprintf(format, a...)}
+}
+
+// Result is what became of a Change. Where Fault is nil, Revision is the one that the change made, now or (Repeated) at a former
+// call; otherwise nothing was made and Revision is the one in force.
+type Result struct {
+	Revision uint64 `json:"revision"`
+	Repeated bool   `json:"repeated"`
+	Fault    *Fault `json:"fault,omitempty"`
+}
+
+// Revision is one change that was made, as History shows it. Put and Remove are what differs from the revision before, also
+// for a revert.
+type Revision struct {
+	Revision uint64                     `json:"revision"`
+	ID       string                     `json:"id"`
+	Note     string                     `json:"note,omitempty"`
+	AtMS     int64                      `json:"at_ms"` // Unix milliseconds of the proposing keeper's clock
+	RevertTo *uint64                    `json:"revert_to,omitempty"`
+	Hash     Hash                       `json:"hash"` // of the whole document at this revision
+	Put      map[string]json.RawMessage `json:"put,omitempty"`
+	Remove   []string                   `json:"remove,omitempty"`
+}
+
+// Update brings a follower from revision From to To. With Snapshot, Put is the whole content of To; otherwise Put and Remove
+// are what differs. Hash is that of the whole content of To. Behind says that the keeper is at To, which is before the
+// follower's From, and has nothing for it.
+type Update struct {
+	From     uint64                     `json:"from"`
+	To       uint64                     `json:"to"`
+	Snapshot bool                       `json:"snapshot"`
+	Behind   bool                       `json:"behind"`
+	Put      map[string]json.RawMessage `json:"put,omitempty"`
+	Remove   []string                   `json:"remove,omitempty"`
+	Hash     Hash                       `json:"hash"`
+}
+
+// Nothing says that the update holds nothing new for the follower that it is for.
+func (u Update) Nothing() bool { return u.From == u.To && !u.Snapshot && !u.Behind }
+
+// Report is a follower's word to a keeper: it holds Revision with Hash in force (ACK), and refused Refused (NACK), if any.
+type Report struct {
+	Name     string   `json:"name"`     // of the router, the same in its next life
+	Instance string   `json:"instance"` // of the process, another in each life
+	Revision uint64   `json:"revision"` // 0 for the router's own file alone
+	Hash     Hash     `json:"hash"`
+	Refused  *Refusal `json:"refused,omitempty"`
+}
+
+// Refusal is a revision that a follower couldn't put in force; it keeps the one before.
+type Refusal struct {
+	Revision uint64 `json:"revision"`
+	Hash     Hash   `json:"hash"` // of the refused content
+	Pointer  string `json:"pointer,omitempty"`
+	Reason   string `json:"reason"`
+}
+
+// Check says which field of a report is wrong, or nothing.
+func (r Report) Check() error {
+	if err := checkLabel("name", r.Name); err != nil {
+		return err
+	}
+	return checkLabel("instance", r.Instance)
+}
--- /dev/null
+++ b/internal/decide/rollout/courier.go
@@ -0,0 +1,79 @@
+package rollout
+
+import (
+	"fmt"
+	"hash/fnv"
+)
+
+// Waits between calls, in milliseconds.
+const (
+	// firstWaitMS is the most that is waited after a loss while there is a keeper that wasn't asked since the last answer.
+	firstWaitMS = 100
+	// leastWaitMS is the wait after each keeper has failed once; it doubles for each round after that.
+	leastWaitMS = 500
+	// MostWaitMS bounds the wait. It is below the usual lease of 6,000, so that a follower that finds a keeper again
+	// wasn't gone for longer than the others took to answer.
+	MostWaitMS = 4_000
+)
+
+// courier decides which keeper is asked and how long is waited after a failure.
+type courier struct {
+	start     uint32 // another for each process, so that followers spread over the keepers
+	moves     uint32
+	keepers   int // as told last
+	losses    int // in a row
+	behinds   int // answers in a row of keepers that are behind
+	theirs    uint64
+	untilMS   float64
+	waitingMS float64
+}
+
+func newCourier(instance string) courier {
+	h := fnv.New32a()
+	h.Write([]byte(instance))
+	return courier{start: h.Sum32(), keepers: 1}
+}
+
+// Keeper says which of n keepers, 0 to n-1, is asked next: the same until one is lost.
+func (c *courier) Keeper(n int) int {
+	c.keepers = max(n, 1)
+	return int((c.start + c.moves) % uint32(c.keepers))
+}
+
+// Unchanged says that a keeper answered that there is nothing new. Offer says it by itself for what it takes.
+func (c *courier) Unchanged() { c.losses, c.behinds, c.theirs = 0, 0, 0 }
+
+// Lost says that a call failed, or that its answer couldn't be taken, and gives the milliseconds to wait before the next, which
+// goes to another keeper. jitter is evenly drawn from 0 up to 1. nowMS is of a clock that doesn't go back.
+func (c *courier) Lost(nowMS, jitter float64) (waitMS float64) {
+	c.moves++
+	c.losses++
+	jitter = min(max(jitter, 0), 1)
+	if nowMS < c.untilMS { // lost again before the wait was over: not another failure of the next keeper
+		c.losses--
+	}
+	if c.losses < c.keepers {
+		waitMS = jitter * firstWaitMS
+	} else {
+		most := float64(leastWaitMS)
+		for i := c.losses / c.keepers; i > 1 && most < MostWaitMS; i-- {
+			most *= 2
+		}
+		most = min(most, MostWaitMS)
+		waitMS = most/2 + jitter*most/2
+	}
+	c.untilMS = nowMS + waitMS
+	return waitMS
+}
+
+// Ahead says that as many answers in a row as there are keepers came from keepers that are behind, and the highest revision
+// among them: the keepers were restored from an older state. The follower keeps what it has until they are past it.
+func (c *courier) Ahead() (theirs uint64, ahead bool) {
+	return c.theirs, c.behinds >= c.keepers
+}
+
+func (c *courier) behind(theirs, ours uint64) error {
+	c.behinds++
+	c.theirs = max(c.theirs, theirs)
+	return fmt.Errorf("%w: it is at revision %d, this follower at %d", ErrBehind, theirs, ours)
+}
--- /dev/null
+++ b/internal/decide/rollout/judge.go
@@ -0,0 +1,101 @@
+package rollout
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+)
+
+// Seat is one living process of a follower and what it holds.
+type Seat struct {
+	Name     string `json:"name"`
+	Instance string `json:"instance"`
+	Revision uint64 `json:"revision"`
+	Hash     Hash   `json:"hash"`
+	// Refused says why it doesn't go on, for seats in Verdict.Refused; nil for others.
+	Refused *Refusal `json:"refused,omitempty"`
+}
+
+// Verdict says where a revision is in force.
+type Verdict struct {
+	Revision uint64 `json:"revision"`
+	InForce  []Seat `json:"in_force"`
+	Behind   []Seat `json:"behind"`  // alive, before the revision
+	Refused  []Seat `json:"refused"` // alive, before the revision, which or a later one they refused
+	// Foreign are alive, but hold what these keepers never gave under that number: followers ahead of keepers that were
+	// restored from an older state. What they hold can't be known to have the revision in it.
+	Foreign   []Seat   `json:"foreign"`
+	Gone      []string `json:"gone"`      // in the roster without a lease: gone or cut off, named and never counted
+	Unreached []string `json:"unreached"` // keepers that weren't asked or whose leases aren't whole
+	// Everywhere says that each living process holds the revision or a later one.
+	Everywhere bool `json:"everywhere"`
+}
+
+// Judge says where a revision is in force, by the leases of all keepers that were reached and the names of those that weren't.
+// It goes by numbers alone; Log.Judge, which a keeper uses, also looks at the hashes.
+//
+// With a keeper unreached, Everywhere needs each name of the roster to be heard elsewhere: one that isn't might be living
+// there. What that can't see is a second process under a name that is heard, during a takeover.
+func Judge(rev uint64, roster []string, heard []Lease, unreached []string) Verdict {
+	return judge(rev, roster, heard, unreached, func(Report) bool { return true })
+}
+
+// Judge is Judge with this log's roster, and with the hash of each report held against the log: only content that the log has
+// under that revision counts as in force. Of a revision that isn't there yet, nothing is.
+func (l *Log) Judge(rev uint64, heard []Lease, unreached []string) Verdict {
+	return judge(rev, l.Roster(), heard, unreached, l.gave)
+}
+
+// gave says whether what a follower holds is what the log has under that revision. Of one that is compacted it can't be said.
+func (l *Log) gave(r Report) bool {
+	h, kept := l.hashAt(r.Revision)
+	return kept && h == r.Hash
+}
+
+func judge(rev uint64, roster []string, heard []Lease, unreached []string, gave func(Report) bool) Verdict {
+	v := Verdict{Revision: rev, InForce: []Seat{}, Behind: []Seat{}, Refused: []Seat{}, Foreign: []Seat{}, Gone: []string{},
+		Unreached: slices.Sorted(slices.Values(unreached))}
+	if v.Unreached == nil {
+		v.Unreached = []string{}
+	}
+	alive := map[string]bool{}
+	for _, lease := range latest(heard) {
+		alive[lease.Name] = true
+		s := Seat{Name: lease.Name, Instance: lease.Instance, Revision: lease.Revision, Hash: lease.Hash}
+		switch f := lease.Refused; {
+		case lease.Revision < rev && f != nil && f.Revision >= rev:
+			s.Refused = f
+			v.Refused = append(v.Refused, s)
+		case lease.Revision < rev:
+			v.Behind = append(v.Behind, s)
+		case !gave(lease.Report):
+			v.Foreign = append(v.Foreign, s)
+		default:
+			v.InForce = append(v.InForce, s)
+		}
+	}
+	for _, name := range slices.Sorted(slices.Values(roster)) {
+		if !alive[name] {
+			v.Gone = append(v.Gone, name)
+		}
+	}
+	// Nobody at all is not everywhere: it would tell an operator that something is in force that no router has.
+	v.Everywhere = len(v.InForce) > 0 && len(v.Behind)+len(v.Refused)+len(v.Foreign) == 0 &&
+		(len(unreached) == 0 || len(v.Gone) == 0)
+	return v
+}
+
+// latest gives one lease for each process, by name and instance. One that went from a keeper to another has two for a while:
+// the higher revision is the later word, because a follower never goes back.
+func latest(heard []Lease) []Lease {
+	best := map[seat]Lease{}
+	for _, lease := range heard {
+		key := seat{lease.Name, lease.Instance}
+		if old, ok := best[key]; !ok || cmp.Or(cmp.Compare(lease.Revision, old.Revision), cmp.Compare(lease.UntilMS, old.UntilMS)) > 0 {
+			best[key] = lease
+		}
+	}
+	return slices.SortedFunc(maps.Values(best), func(a, b Lease) int {
+		return cmp.Or(cmp.Compare(a.Name, b.Name), cmp.Compare(a.Instance, b.Instance))
+	})
+}
