--- a/internal/decide/rollout/change.go
+++ b/internal/decide/rollout/change.go
@@ -121,5 +121,11 @@
 	if err := checkLabel("name", r.Name); err != nil {
 		return err
 	}
-	return checkLabel("instance", r.Instance)
+	if err := checkLabel("instance", r.Instance); err != nil {
+		return err
+	}
+	if f := r.Refused; f != nil && (len(f.Pointer) > MaxPointer || len(f.Reason) > MaxNote) {
+		return fmt.Errorf("field refused: its pointer has more than %d bytes, or its reason more than %d", MaxPointer, MaxNote)
+	}
+	return nil
 }
--- a/internal/decide/rollout/courier.go
+++ b/internal/decide/rollout/courier.go
@@ -18,14 +18,13 @@
 
 // courier decides which keeper is asked and how long is waited after a failure.
 type courier struct {
-	start     uint32 // another for each process, so that followers spread over the keepers
-	moves     uint32
-	keepers   int // as told last
-	losses    int // in a row
-	behinds   int // answers in a row of keepers that are behind
-	theirs    uint64
-	untilMS   float64
-	waitingMS float64
+	start   uint32 // another for each process, so that followers spread over the keepers
+	moves   uint32
+	keepers int // as told last
+	losses  int // in a row
+	behinds int // answers in a row of keepers that are behind
+	theirs  uint64
+	untilMS float64 // the end of the wait after the latest loss
 }
 
 func newCourier(instance string) courier {
@@ -44,14 +43,15 @@
 func (c *courier) Unchanged() { c.losses, c.behinds, c.theirs = 0, 0, 0 }
 
 // Lost says that a call failed, or that its answer couldn't be taken, and gives the milliseconds to wait before the next, which
-// goes to another keeper. jitter is evenly drawn from 0 up to 1. nowMS is of a clock that doesn't go back.
+// goes to another keeper. A loss that is told during the wait changes nothing: the next keeper hasn't been asked yet. jitter is
+// evenly drawn from 0 up to 1. nowMS is of a clock that doesn't go back.
 func (c *courier) Lost(nowMS, jitter float64) (waitMS float64) {
+	if nowMS < c.untilMS {
+		return c.untilMS - nowMS
+	}
 	c.moves++
 	c.losses++
 	jitter = min(max(jitter, 0), 1)
-	if nowMS < c.untilMS { // lost again before the wait was over: not another failure of the next keeper
-		c.losses--
-	}
 	if c.losses < c.keepers {
 		waitMS = jitter * firstWaitMS
 	} else {
--- a/internal/decide/rollout/document.go
+++ b/internal/decide/rollout/document.go
@@ -14,7 +14,7 @@
 // Bounds of what a Log takes, in bytes of UTF-8 unless said otherwise. A change beyond one is refused with FaultInvalid.
 const (
 	MaxID       = 128      // of a change's ID and of a follower's name
-	MaxNote     = 1024     // of a change's note
+	MaxNote     = 1024     // of a change's note, and of a refusal's reason
 	MaxPointer  = 512      // of one pointer
 	MaxValue    = 64 << 10 // of one value in its canonical form
 	MaxChange   = 1 << 20  // of all pointers and values of one change
@@ -123,11 +123,7 @@
 	}
 	d := json.NewDecoder(bytes.NewReader(raw))
 	d.UseNumber()
-	var v any
-	if err := d.Decode(&v); err != nil {
-		return nil, fmt.Errorf("the value is not valid JSON: %w", err)
-	}
-	v, err := shortest(v, 0)
+	v, err := read(d, 0)
 	if err != nil {
 		return nil, err
 	}
@@ -167,33 +163,57 @@
 	return nil
 }
 
-// shortest brings the numbers of a value into their shortest form, in place where it can.
-func shortest(v any, depth int) (any, error) {
-	if depth > maxDepth {
+// read gives the next value, with its numbers in their shortest form. It takes a text that is valid JSON, and refuses what
+// that allows but nobody can rely on: a name that stands twice in an object.
+func read(d *json.Decoder, depth int) (any, error) {
+	t, err := d.Token()
+	if err != nil {
+		return nil, fmt.Errorf("the value is not valid JSON: %w", err)
+	}
+	if n, ok := t.(json.Number); ok {
+		return shortestNumber(string(n))
+	}
+	open, ok := t.(json.Delim)
+	if !ok {
+		return t, nil
+	}
+	if depth == maxDepth {
 		return nil, fmt.Errorf("more than %d lists and objects lie within each other", maxDepth)
 	}
-	var err error
-	switch v := v.(type) {
-	case json.Number:
-		return shortestNumber(string(v))
-	case []any:
-		for i := range v {
-			if v[i], err = shortest(v[i], depth+1); err != nil {
-				return nil, err
+	list, object := []any{}, map[string]any{}
+	for d.More() {
+		name := ""
+		if open == '{' {
+			t, err := d.Token()
+			if err != nil {
+				return nil, fmt.Errorf("the value is not valid JSON: %w", err)
 			}
-		}
-	case map[string]any:
-		for k := range v {
-			if v[k], err = shortest(v[k], depth+1); err != nil {
-				return nil, err
+			name = t.(string)
+			if _, twice := object[name]; twice {
+				return nil, fmt.Errorf("the name %.40q stands twice in an object", name)
 			}
 		}
+		v, err := read(d, depth+1)
+		if err != nil {
+			return nil, err
+		}
+		if open == '{' {
+			object[name] = v
+		} else {
+			list = append(list, v)
+		}
+	}
+	if _, err := d.Token(); err != nil {
+		return nil, fmt.Errorf("the value is not valid JSON: %w", err)
+	}
+	if open == '{' {
+		return object, nil
 	}
-	return v, nil
+	return list, nil
 }
 
 // shortestNumber keeps whole numbers digit by digit, because nanoseconds can pass what a float64 holds.
-func shortestNumber(s string) (json.Number, error) {
+func shortestNumber(s string) (any, error) {
 	if !strings.ContainsAny(s, ".eE") {
 		if s == "-0" {
 			s = "0"
--- a/internal/decide/rollout/follower.go
+++ b/internal/decide/rollout/follower.go
@@ -7,6 +7,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"strings"
 )
 
 // Why a follower doesn't take an update. After each of them, call Lost: another keeper is asked, after a wait.
@@ -83,8 +84,9 @@
 	if u.To < f.now.revision || !u.Snapshot && u.From != f.now.revision {
 		return nil, false, fmt.Errorf("%w: from %d to %d at %d", ErrStale, u.From, u.To, f.now.revision)
 	}
-	if u.Nothing() || u.To == f.now.revision && u.Hash == f.now.hash || f.refused != nil && f.refused.Revision == u.To && f.refused.Hash == u.Hash {
-		f.whole = f.whole && !(u.Snapshot && u.Hash == f.now.hash)
+	same := u.To == f.now.revision && u.Hash == f.now.hash
+	if u.Nothing() || same || f.refused != nil && f.refused.Revision == u.To && f.refused.Hash == u.Hash {
+		f.whole = f.whole && !same
 		f.Unchanged()
 		return nil, false, nil
 	}
@@ -140,11 +142,19 @@
 // isn't taken again until Retry or a later revision. Without a candidate it does nothing.
 func (f *Follower) Refuse(pointer, reason string) {
 	if f.next != nil {
-		f.refused = &Refusal{Revision: f.next.revision, Hash: f.next.hash, Pointer: pointer, Reason: reason}
+		f.refused = &Refusal{Revision: f.next.revision, Hash: f.next.hash, Pointer: cut(pointer, MaxPointer), Reason: cut(reason, MaxNote)}
 		f.next = nil
 	}
 }
 
+// cut gives at most so many bytes of a text, and no part of a character.
+func cut(s string, most int) string {
+	if len(s) > most {
+		s = s[:most]
+	}
+	return strings.ToValidUTF8(s, "")
+}
+
 // Retry forgets what was refused, so that it's offered once more: for when the router's own file has changed.
 func (f *Follower) Retry() { f.refused = nil }
 
--- a/internal/decide/rollout/judge.go
+++ b/internal/decide/rollout/judge.go
@@ -22,8 +22,8 @@
 	InForce  []Seat `json:"in_force"`
 	Behind   []Seat `json:"behind"`  // alive, before the revision
 	Refused  []Seat `json:"refused"` // alive, before the revision, which or a later one they refused
-	// Foreign are alive, but hold what these keepers never gave under that number: followers ahead of keepers that were
-	// restored from an older state. What they hold can't be known to have the revision in it.
+	// Foreign are alive, but hold what these keepers didn't give under that number, or no longer know: followers ahead of
+	// keepers that were restored from an older state, or about to get the whole. It can't be known that the revision is in it.
 	Foreign   []Seat   `json:"foreign"`
 	Gone      []string `json:"gone"`      // in the roster without a lease: gone or cut off, named and never counted
 	Unreached []string `json:"unreached"` // keepers that weren't asked or whose leases aren't whole
@@ -35,7 +35,8 @@
 // It goes by numbers alone; Log.Judge, which a keeper uses, also looks at the hashes.
 //
 // With a keeper unreached, Everywhere needs each name of the roster to be heard elsewhere: one that isn't might be living
-// there. What that can't see is a second process under a name that is heard, during a takeover.
+// there. What that can't see is a second process under a name that is heard, during a takeover, and a router that has never
+// been answered, because a keeper answers only whose name is in the roster.
 func Judge(rev uint64, roster []string, heard []Lease, unreached []string) Verdict {
 	return judge(rev, roster, heard, unreached, func(Report) bool { return true })
 }
--- a/internal/decide/rollout/log_test.go
+++ b/internal/decide/rollout/log_test.go
@@ -1,7 +1,11 @@
 package rollout
 
 import (
+	"bytes"
 	"encoding/json"
+	"fmt"
+	"reflect"
+	"strings"
 	"testing"
 )
 
@@ -48,3 +52,126 @@
 		t.Errorf("%+v", h)
 	}
 }
+
+// Each fault is told with its kind and place, and nothing differs after it.
+func TestFaults(t *testing.T) {
+	l := NewLog(Terms{})
+	l.made(t, Change{ID: "base", Put: map[string]json.RawMessage{"/settings/rules/cold-ns": json.RawMessage("1"), "/settings/list": json.RawMessage("[]")}})
+	before, _ := l.MarshalBinary()
+	huge := json.RawMessage(`"` + strings.Repeat("x", MaxValue-2) + `"`)
+	many := Change{ID: "x", Put: map[string]json.RawMessage{}}
+	for i := range 17 {
+		many.Put[fmt.Sprint("/settings/x", i)] = huge
+	}
+	for name, c := range map[string]struct {
+		Change
+		kind    FaultKind
+		pointer string
+		words   string
+	}{
+		"no id":           {Change{Remove: []string{"/settings/list"}}, FaultInvalid, "", "field id"},
+		"long id":         {put(strings.Repeat("x", MaxID+1), "/settings/a", "1"), FaultInvalid, "", "field id"},
+		"odd id":          {put("a\nb", "/settings/a", "1"), FaultInvalid, "", "field id"},
+		"long note":       {Change{ID: "x", Note: strings.Repeat("x", MaxNote+1), Remove: []string{"/settings/list"}}, FaultInvalid, "", "field note"},
+		"odd note":        {Change{ID: "x", Note: "\xff", Remove: []string{"/settings/list"}}, FaultInvalid, "", "field note"},
+		"time":            {Change{ID: "x", AtMS: -1, Remove: []string{"/settings/list"}}, FaultInvalid, "", "field at_ms"},
+		"nothing":         {Change{ID: "x"}, FaultInvalid, "", "no put"},
+		"revert and put":  {Change{ID: "x", RevertTo: number(0), Remove: []string{"/settings/list"}}, FaultInvalid, "", "field revert_to"},
+		"revert ahead":    {Change{ID: "x", RevertTo: number(2)}, FaultInvalid, "", "field revert_to"},
+		"place":           {put("x", "/listen", `"a:1"`), FaultInvalid, "/listen", "own"},
+		"value":           {put("x", "/settings/a", "{"), FaultInvalid, "/settings/a", "JSON"},
+		"remove place":    {Change{ID: "x", Remove: []string{"/seed"}}, FaultInvalid, "/seed", "own"},
+		"remove none":     {Change{ID: "x", Remove: []string{"/settings/a"}}, FaultInvalid, "/settings/a", "no such entry"},
+		"remove twice":    {Change{ID: "x", Remove: []string{"/settings/list", "/settings/list"}}, FaultInvalid, "/settings/list", "twice"},
+		"put and remove":  {Change{ID: "x", Put: map[string]json.RawMessage{"/settings/list": json.RawMessage("1")}, Remove: []string{"/settings/list"}}, FaultInvalid, "/settings/list", "put and removed"},
+		"within an entry": {put("x", "/settings/list/0", "1"), FaultInvalid, "/settings/list/0", "/settings/list"},
+		"above an entry":  {put("x", "/settings/rules", "{}"), FaultInvalid, "/settings/rules", "below"},
+		"within itself":   {Change{ID: "x", Put: map[string]json.RawMessage{"/settings/q": json.RawMessage("1"), "/settings/q/r": json.RawMessage("1")}}, FaultInvalid, "/settings/q/r", "/settings/q"},
+		"large change":    {many, FaultInvalid, "", "bytes"},
+		"conflict":        {Change{ID: "x", Expect: number(7), Remove: []string{"/settings/list"}}, FaultConflict, "", "field expect"},
+		"reused":          {Change{ID: "base", Remove: []string{"/settings/list"}}, FaultReused, "", "field id"},
+	} {
+		r := l.Apply(c.Change)
+		if r.Fault == nil || r.Fault.Kind != c.kind || r.Fault.Pointer != c.pointer || !strings.Contains(r.Fault.Error(), c.words) || r.Revision != 1 {
+			t.Errorf("%s: %+v, %v", name, r, r.Fault)
+		}
+		if _, f := l.Preview(c.Change); !reflect.DeepEqual(f, r.Fault) {
+			t.Errorf("%s: the preview says %v", name, f)
+		}
+	}
+	if after, _ := l.MarshalBinary(); !bytes.Equal(before, after) {
+		t.Error("a refused change changed something")
+	}
+	// What stands in the way may go in the same change.
+	l.made(t, Change{ID: "over", Put: map[string]json.RawMessage{"/settings/rules": json.RawMessage("{}"), "/settings/list/0": json.RawMessage("1")},
+		Remove: []string{"/settings/rules/cold-ns", "/settings/list"}})
+	if len(l.Entries()) != 2 {
+		t.Error(l.Entries())
+	}
+}
+
+// The document has bounds, which a change can't pass bit by bit.
+func TestDocumentBounds(t *testing.T) {
+	l := NewLog(Terms{Revisions: 2})
+	huge := json.RawMessage(`"` + strings.Repeat("x", MaxValue-2) + `"`)
+	var fault *Fault
+	for i := 0; fault == nil && i < 100; i++ {
+		fault = l.Apply(put(fmt.Sprint(i), fmt.Sprint("/settings/x", i), string(huge))).Fault
+	}
+	if entries, size := l.Size(); fault == nil || !strings.Contains(fault.Reason, "document") || entries != MaxDocument/MaxValue-1 || size > MaxDocument {
+		t.Error(fault, entries, size)
+	}
+	l = NewLog(Terms{Revisions: 2})
+	for i, n := 0, 0; n < MaxEntries; i++ {
+		c := Change{ID: fmt.Sprint(i), Put: map[string]json.RawMessage{}}
+		for range 25_000 {
+			c.Put[fmt.Sprint("/settings/x", n)] = json.RawMessage("1")
+			n++
+		}
+		l.made(t, c)
+	}
+	if r := l.Apply(put("more", "/settings/y", "1")); r.Fault == nil || !strings.Contains(r.Fault.Reason, "entries") {
+		t.Errorf("%+v", r)
+	}
+}
+
+// IDs are remembered past the records, but not for ever.
+func TestIDsAreRememberedWithinBounds(t *testing.T) {
+	l := NewLog(Terms{Revisions: 2})
+	l.made(t, put("first", "/settings/a", "0"))
+	for i := range MaxIDs - 1 {
+		l.made(t, put(fmt.Sprint(i), "/settings/a", fmt.Sprint(i)))
+	}
+	if r := l.Apply(put("first", "/settings/a", "0")); !r.Repeated || r.Revision != 1 {
+		t.Errorf("%+v", r)
+	}
+	l.made(t, put("one more", "/settings/a", "0"))
+	if len(l.ids) != MaxIDs || len(l.idOrder) != MaxIDs {
+		t.Error(len(l.ids), len(l.idOrder))
+	}
+	l.made(t, put("first", "/settings/a", "0"))
+	// A preview of what was made is the content in force, and no fault.
+	if c, f := l.Preview(put("first", "/settings/a", "0")); f != nil || len(c) != 1 {
+		t.Error(c, f)
+	}
+}
+
+// The roster takes each name once, and none that is wrong or beyond the bound.
+func TestRoster(t *testing.T) {
+	l := NewLog(Terms{})
+	if !l.Join("b") || !l.Join("a") || l.Join("b") || l.Join("") || l.Join("\x00") {
+		t.Error(l.Roster())
+	}
+	if r := l.Roster(); !reflect.DeepEqual(r, []string{"a", "b"}) {
+		t.Error(r)
+	}
+	if !l.Forget("a") || l.Forget("a") || len(l.Roster()) != 1 {
+		t.Error(l.Roster())
+	}
+	for i := range MaxRoster {
+		l.Join(fmt.Sprint(i))
+	}
+	if len(l.Roster()) != MaxRoster || l.Join("late") {
+		t.Error(len(l.Roster()))
+	}
+}
--- /dev/null
+++ b/internal/decide/rollout/since_test.go
@@ -0,0 +1,119 @@
+package rollout
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// filled gives a log whose whole is larger than any delta of these tests.
+func filled(t testing.TB, terms Terms) *Log {
+	l := NewLog(terms)
+	l.made(t, put("filler", "/settings/filler", `"`+strings.Repeat("x", 400)+`"`))
+	return l
+}
+
+// What a follower gets: nothing, what differs, or the whole by cost, by a foreign hash and by compaction; Behind if it's ahead.
+func TestSince(t *testing.T) {
+	l := filled(t, Terms{Revisions: 3})
+	one, h1 := l.Revision(), l.Hash()
+	l.made(t, put("a", "/settings/a", "1"))
+	l.made(t, put("b", "/settings/a", "2"))
+	l.made(t, Change{ID: "c", Put: map[string]json.RawMessage{"/settings/b": json.RawMessage("3")}, Remove: []string{"/settings/a"}})
+	if u := l.Since(4, l.Hash()); !u.Nothing() || u.Put != nil || u.Hash != l.Hash() {
+		t.Errorf("%+v", u)
+	}
+	// /settings/a came and went since: it isn't told.
+	if u := l.Since(one, h1); u.Snapshot || len(u.Put) != 1 || len(u.Remove) != 0 || u.From != 1 || u.To != 4 {
+		t.Errorf("%+v", u)
+	}
+	_, h2 := l.At(2)
+	two, _ := l.At(2)
+	if u := l.Since(2, HashOf(two)); h2 != nil || u.Snapshot || !reflect.DeepEqual(u.Remove, []string{"/settings/a"}) {
+		t.Errorf("%+v", u)
+	}
+	whole := func(rev uint64, h Hash, why string) {
+		t.Helper()
+		if u := l.Since(rev, h); !u.Snapshot || u.Behind || !maps.EqualFunc(u.Put, l.Entries(), equal) || u.Remove != nil || u.From != rev || u.To != l.Revision() {
+			t.Errorf("%s: %+v", why, u)
+		}
+	}
+	whole(2, h1, "another content under that number")
+	whole(4, h1, "another content under the number in force")
+	whole(0, Hash{}, "compacted")
+	l.made(t, Change{ID: "d", Remove: []string{"/settings/filler"}})
+	three, _ := l.At(3)
+	whole(3, HashOf(three), "the delta has more bytes than the whole")
+	if u := l.Since(9, h1); !u.Behind || u.Snapshot || u.Put != nil || u.To != l.Revision() {
+		t.Errorf("%+v", u)
+	}
+}
+
+func equal(a, b json.RawMessage) bool { return string(a) == string(b) }
+
+// One that refused what is in force is left alone until something else is.
+func TestNextAfterARefusal(t *testing.T) {
+	l := filled(t, Terms{})
+	r := Report{Name: "r", Instance: "i", Revision: l.Revision(), Hash: l.Hash()}
+	l.made(t, put("a", "/settings/a", "1"))
+	if u := l.Next(r); u.Nothing() {
+		t.Errorf("%+v", u)
+	}
+	r.Refused = &Refusal{Revision: l.Revision(), Hash: l.Hash(), Reason: "no"}
+	if u := l.Next(r); !u.Nothing() {
+		t.Errorf("%+v", u)
+	}
+	r.Refused.Hash = Hash{1}
+	if u := l.Next(r); u.Nothing() {
+		t.Error("other content under the refused number is kept from it")
+	}
+	r.Refused.Hash = l.Hash()
+	l.made(t, put("b", "/settings/a", "2"))
+	if u := l.Next(r); u.To != 3 || u.From != 1 || len(u.Put) != 1 {
+		t.Errorf("%+v", u)
+	}
+}
+
+// The past is kept by number and by bytes, and the newest change always.
+func TestCompaction(t *testing.T) {
+	l := NewLog(Terms{Revisions: 5})
+	for i := range 20 {
+		l.made(t, put(fmt.Sprint(i), "/settings/a", fmt.Sprint(i)))
+	}
+	if l.Revision() != 20 || l.Oldest() != 15 || len(l.History(0, 100)) != 5 {
+		t.Error(l.Revision(), l.Oldest())
+	}
+	if c, f := l.At(15); f != nil || string(c["/settings/a"]) != "14" {
+		t.Error(c, f)
+	}
+	if _, f := l.At(14); f == nil || f.Kind != FaultCompacted || f.Revision != 15 {
+		t.Error(f)
+	}
+	if r := l.Apply(Change{ID: "back", RevertTo: number(14)}); r.Fault == nil || r.Fault.Kind != FaultCompacted || r.Revision != 20 {
+		t.Errorf("%+v", r)
+	}
+	if h := l.History(17, 2); len(h) != 2 || h[0].Revision != 17 || h[1].ID != "17" {
+		t.Errorf("%+v", h)
+	}
+	l = NewLog(Terms{Bytes: 3000})
+	for i := range 20 {
+		l.made(t, put(fmt.Sprint(i), "/settings/a", `"`+strings.Repeat("x", 400+i)+`"`))
+		sum := 0
+		for _, r := range l.records {
+			sum += r.bytes()
+		}
+		if sum != l.kept || sum > 3000 {
+			t.Fatal(i, sum, l.kept)
+		}
+	}
+	if kept := l.Revision() - l.Oldest(); kept < 2 || kept > 3 {
+		t.Error(kept)
+	}
+	l.made(t, put("large", "/settings/b", `"`+strings.Repeat("x", 9000)+`"`))
+	if l.Revision()-l.Oldest() != 1 {
+		t.Error(l.Oldest())
+	}
+}
--- a/internal/decide/rollout/state.go
+++ b/internal/decide/rollout/state.go
@@ -24,7 +24,7 @@
 	w.number(uint64(len(l.entries)))
 	for _, p := range slices.Sorted(maps.Keys(l.entries)) {
 		w.text(p)
-		w.text(string(l.entries[p]))
+		w.optional(l.entries[p])
 	}
 	w.b = append(w.b, l.hash[:]...)
 	w.number(uint64(len(l.records)))
@@ -65,8 +65,7 @@
 	n := NewLog(Terms{Revisions: int(r.number()), Bytes: int(r.number())})
 	n.oldest, n.before = r.number(), r.hash()
 	for range r.count() {
-		p, v := r.text(), r.text()
-		n.put(p, json.RawMessage(v))
+		n.put(r.text(), r.optional())
 	}
 	if h := r.hash(); r.err == nil && h != n.hash {
 		return fmt.Errorf("%w: the entries don't have the hash that the state says", ErrDamaged)
@@ -84,6 +83,9 @@
 	for range r.count() {
 		n.roster[r.text()] = true
 	}
+	if h, _ := n.hashAt(n.Revision()); r.err == nil && h != n.hash {
+		return fmt.Errorf("%w: the last revision doesn't have the hash of the entries", ErrDamaged)
+	}
 	if r.err == nil && len(r.b) > 0 {
 		r.err = fmt.Errorf("%d bytes are left over", len(r.b))
 	}
--- /dev/null
+++ b/internal/decide/rollout/state_test.go
@@ -0,0 +1,78 @@
+package rollout
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"reflect"
+	"strings"
+	"testing"
+)
+
+// sample has everything that a state can hold.
+func sample(t testing.TB) *Log {
+	l := filled(t, Terms{Revisions: 4, Bytes: 1 << 20})
+	l.made(t, put("a", "/settings/a", "1"))
+	l.made(t, Change{ID: "b", Put: map[string]json.RawMessage{"/board": json.RawMessage(`"a:1"`)}, Remove: []string{"/settings/a"}, Note: "why", AtMS: 7})
+	l.made(t, Change{ID: "c", RevertTo: number(2)})
+	l.made(t, put("d", "/settings/a", "1")) // changes nothing
+	l.made(t, put("e", "/settings/parties/p", `{"quota-rps":1}`))
+	l.Join("r1")
+	l.Join("r2")
+	return l
+}
+
+// A state that was read is the one that was written, in every respect.
+func TestStateComesBack(t *testing.T) {
+	for _, l := range []*Log{NewLog(Terms{}), sample(t)} {
+		state, err := l.MarshalBinary()
+		if err != nil {
+			t.Fatal(err)
+		}
+		back := NewLog(Terms{Revisions: 1})
+		back.made(t, put("else", "/settings/else", "1"))
+		if err := back.UnmarshalBinary(state); err != nil || !reflect.DeepEqual(l, back) {
+			t.Errorf("%v\n%+v\n%+v", err, l, back)
+		}
+		again, _ := back.MarshalBinary()
+		if !bytes.Equal(state, again) {
+			t.Error("it's written in another way")
+		}
+	}
+}
+
+// A damaged state is told as such, wherever it's damaged, and leaves the log alone.
+func TestDamagedState(t *testing.T) {
+	state, _ := sample(t).MarshalBinary()
+	l := NewLog(Terms{})
+	l.made(t, put("mine", "/settings/mine", "1"))
+	refused := func(why string, state []byte, words string) {
+		t.Helper()
+		err := l.UnmarshalBinary(state)
+		if !errors.Is(err, ErrDamaged) || !strings.Contains(err.Error(), words) || l.Revision() != 1 || len(l.Entries()) != 1 {
+			t.Errorf("%s: %v", why, err)
+		}
+	}
+	for i := range state {
+		broken := bytes.Clone(state)
+		broken[i] ^= 1 << (i % 8)
+		refused(fmt.Sprint("byte ", i), broken, "state")
+		refused(fmt.Sprint("cut at ", i), state[:i], "state")
+	}
+	refused("foreign", bytes.Repeat([]byte("raft"), 100), "no state")
+	form := bytes.Clone(state)
+	form[len(magic)-1]++
+	refused("later form", form, "form 2")
+	refused("longer", append(bytes.Clone(state), 0), "checksum")
+	// With a checksum that fits, as a faulty program would write it.
+	sealed := func(body []byte) []byte {
+		sum := sha256.Sum256(body)
+		return append(bytes.Clone(body), sum[:]...)
+	}
+	body := state[:len(state)-sha256.Size]
+	refused("left over", sealed(append(bytes.Clone(body), 0)), "left over")
+	refused("early end", sealed(body[:len(body)-1]), "ends early")
+	refused("entry", sealed(bytes.Replace(body, []byte("/settings/filler"), []byte("/settings/fillet"), 1)), "entries")
+}
