--- /dev/null
+++ b/internal/decide/rollout/follower_test.go
@@ -0,0 +1,346 @@
+package rollout
+
+import (
+	"encoding/json"
+	"errors"
+	"maps"
+	"math"
+	"strings"
+	"testing"
+)
+
+// holds checks what a follower has in force, by its word and by its copy.
+func (f *Follower) holds(t testing.TB, rev uint64, content map[string]json.RawMessage) {
+	t.Helper()
+	s := f.Saved()
+	if s.Revision != rev || f.Ask().Revision != rev || !maps.EqualFunc(s.Entries, content, equal) || s.Hash != HashOf(content) {
+		t.Fatalf("it holds %d %v, not %d %v", s.Revision, s.Entries, rev, content)
+	}
+}
+
+// follow takes what the log has for the follower.
+func (f *Follower) follow(t testing.TB, l *Log) {
+	t.Helper()
+	if _, ok, err := f.Offer(l.Next(f.Ask())); !ok || err != nil {
+		t.Fatal(ok, err)
+	}
+	f.Accept()
+	f.holds(t, l.Revision(), l.Entries())
+}
+
+// Delta and whole, accepted one after another; nothing where there is nothing.
+func TestFollowerFollows(t *testing.T) {
+	l, f := filled(t, Terms{Revisions: 2}), NewFollower("r", "1")
+	f.holds(t, 0, nil)
+	f.follow(t, l)
+	l.made(t, put("a", "/settings/a", "1"))
+	if u := l.Next(f.Ask()); u.Snapshot {
+		t.Errorf("%+v", u)
+	}
+	f.follow(t, l)
+	if _, ok, err := f.Offer(l.Next(f.Ask())); ok || err != nil {
+		t.Error(ok, err)
+	}
+	for _, id := range []string{"b", "c", "d"} {
+		l.made(t, put(id, "/settings/a", `"`+id+`"`))
+	}
+	if u := l.Next(f.Ask()); !u.Snapshot {
+		t.Errorf("%+v", u)
+	}
+	f.follow(t, l)
+	l.made(t, Change{ID: "e", Remove: []string{"/settings/filler", "/settings/a"}})
+	f.follow(t, l)
+}
+
+// What isn't for this follower, or isn't what it says, changes nothing and is told.
+func TestFollowerTakesNoOther(t *testing.T) {
+	l, f := filled(t, Terms{}), NewFollower("r", "1")
+	old := l.Next(f.Ask())
+	f.follow(t, l)
+	late := l.Since(f.now.revision, f.now.hash)
+	l.made(t, put("a", "/settings/a", "1"))
+	delta := l.Next(f.Ask())
+	f.follow(t, l)
+	content := l.Entries()
+	refuses := func(why string, u Update, want error) {
+		t.Helper()
+		if _, ok, err := f.Offer(u); ok || !errors.Is(err, want) {
+			t.Errorf("%s: %v, %v", why, ok, err)
+		}
+		f.holds(t, 2, content)
+	}
+	refuses("a whole from before", old, ErrStale)
+	refuses("nothing, from before", late, ErrStale)
+	refuses("a delta once more", delta, ErrStale)
+	refuses("a delta from elsewhere", Update{From: 3, To: 4}, ErrStale)
+	refuses("behind", Update{From: 2, To: 1, Behind: true}, ErrBehind)
+	if f.Ask().Hash != f.now.hash {
+		t.Error("the whole is asked for without need")
+	}
+	l.made(t, put("b", "/settings/a", "2"))
+	broken := l.Next(f.Ask())
+	broken.Put = map[string]json.RawMessage{"/settings/a": json.RawMessage("3")}
+	refuses("a value that isn't the one", broken, ErrMismatch)
+	if f.Ask().Hash != (Hash{}) {
+		t.Error("the whole isn't asked for")
+	}
+	if u := l.Next(f.Ask()); !u.Snapshot {
+		t.Errorf("%+v", u)
+	} else {
+		u.Put["/settings/x"] = json.RawMessage("1")
+		refuses("an entry too many", u, ErrMismatch)
+	}
+	refuses("a remove of nothing", Update{From: 2, To: 3, Remove: []string{"/settings/none"}}, ErrMismatch)
+	f.follow(t, l)
+	if f.Ask().Hash != l.Hash() {
+		t.Error("the whole is still asked for")
+	}
+	l.made(t, put("c", "/settings/a", "4"))
+	if _, ok, err := f.Offer(l.Next(f.Ask())); !ok || err != nil {
+		t.Fatal(ok, err)
+	}
+	if _, ok, err := f.Offer(l.Next(f.Ask())); ok || !errors.Is(err, ErrPending) {
+		t.Error(ok, err)
+	}
+	if _, _, err := f.Restore(Saved{Revision: 9}); !errors.Is(err, ErrPending) {
+		t.Error(err)
+	}
+	f.Accept()
+	f.holds(t, 4, l.Entries())
+	f.Accept()
+	f.Refuse("", "nothing is offered")
+	if f.holds(t, 4, l.Entries()); f.Ask().Refused != nil {
+		t.Error(f.Ask().Refused)
+	}
+}
+
+// A refused revision leaves the one before in force, is told, and isn't taken again until something is different.
+func TestFollowerRefuses(t *testing.T) {
+	l, f := filled(t, Terms{}), NewFollower("r", "1")
+	f.follow(t, l)
+	before := l.Entries()
+	l.made(t, put("a", "/settings/a", "1"))
+	u := l.Next(f.Ask())
+	refuse := func() {
+		t.Helper()
+		if _, ok, err := f.Offer(u); !ok || err != nil {
+			t.Fatal(ok, err)
+		}
+		f.Refuse("/settings/a", strings.Repeat("é", MaxNote))
+		f.holds(t, 1, before)
+	}
+	refuse()
+	r := f.Ask()
+	if r.Refused == nil || r.Refused.Revision != 2 || r.Refused.Hash != l.Hash() || r.Refused.Pointer != "/settings/a" || r.Check() != nil {
+		t.Errorf("%+v", r.Refused)
+	}
+	if u := l.Next(r); !u.Nothing() {
+		t.Errorf("%+v", u)
+	}
+	// Also from a keeper that doesn't know, and as a whole.
+	for _, again := range []Update{u, l.Since(0, Hash{})} {
+		if _, ok, err := f.Offer(again); ok || err != nil {
+			t.Error(ok, err)
+		}
+	}
+	f.Retry()
+	if f.Ask().Refused != nil {
+		t.Error("still refused")
+	}
+	refuse()
+	l.made(t, put("b", "/settings/a", "2"))
+	f.follow(t, l)
+	if f.Ask().Refused != nil {
+		t.Error("still refused")
+	}
+}
+
+// A copy is taken if it's what was saved and not older than what is in force.
+func TestFollowerRestores(t *testing.T) {
+	l, f := filled(t, Terms{}), NewFollower("r", "1")
+	l.made(t, put("a", "/settings/a", "1"))
+	f.follow(t, l)
+	text, err := json.Marshal(f.Saved())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var saved Saved
+	if err := json.Unmarshal(text, &saved); err != nil {
+		t.Fatal(err)
+	}
+	next := NewFollower("r", "2")
+	damaged := map[string]func(*Saved){
+		"revision": func(s *Saved) { s.Revision++ },
+		"hash":     func(s *Saved) { s.Hash[3]++ },
+		"sum":      func(s *Saved) { s.Sum = Hash{} },
+		"value":    func(s *Saved) { s.Entries["/settings/a"] = json.RawMessage("2") },
+		"entry":    func(s *Saved) { delete(s.Entries, "/settings/a") },
+	}
+	for name, damage := range damaged {
+		s := saved
+		s.Entries = maps.Clone(saved.Entries)
+		damage(&s)
+		if _, ok, err := next.Restore(s); ok || !errors.Is(err, ErrDamaged) {
+			t.Errorf("%s: %v, %v", name, ok, err)
+		}
+		next.holds(t, 0, nil)
+	}
+	if _, ok, err := next.Restore(NewFollower("r", "0").Saved()); ok || err != nil {
+		t.Error(ok, err)
+	}
+	if _, ok, err := next.Restore(saved); !ok || err != nil {
+		t.Fatal(ok, err)
+	}
+	next.holds(t, 0, nil)
+	next.Accept()
+	next.holds(t, 2, l.Entries())
+	if _, ok, err := next.Restore(saved); ok || !errors.Is(err, ErrStale) {
+		t.Error(ok, err)
+	}
+	// What the copy has may be refused as any other; and it goes on from there by a delta.
+	third := NewFollower("r", "3")
+	if _, ok, _ := third.Restore(saved); !ok {
+		t.Fatal("not taken")
+	}
+	third.Refuse("/settings/a", "no")
+	third.holds(t, 0, nil)
+	l.made(t, put("b", "/settings/a", "2"))
+	if u := l.Next(next.Ask()); u.Snapshot {
+		t.Errorf("%+v", u)
+	}
+	next.follow(t, l)
+}
+
+// Keepers that were restored from an older state are behind a follower: it keeps what it has, says so, and takes theirs when
+// they are past it, as a whole.
+func TestKeepersFromAnOlderState(t *testing.T) {
+	l, f := filled(t, Terms{}), NewFollower("r", "1")
+	old, _ := l.MarshalBinary()
+	l.made(t, put("a", "/settings/a", "1"))
+	l.made(t, put("b", "/settings/a", "2"))
+	f.follow(t, l)
+	restored := NewLog(Terms{})
+	if err := restored.UnmarshalBinary(old); err != nil {
+		t.Fatal(err)
+	}
+	restored.Join("r")
+	f.Keeper(3)
+	for i := range 3 {
+		if _, ahead := f.Ahead(); ahead {
+			t.Error("ahead of all after", i)
+		}
+		if _, ok, err := f.Offer(restored.Next(f.Ask())); ok || !errors.Is(err, ErrBehind) {
+			t.Fatal(ok, err)
+		}
+		f.Lost(float64(i)*10_000, 0)
+		f.holds(t, 3, l.Entries())
+	}
+	if theirs, ahead := f.Ahead(); !ahead || theirs != 1 {
+		t.Error(theirs, ahead)
+	}
+	if v := restored.Judge(1, []Lease{{Report: f.Ask()}}, nil); v.Everywhere || names(v.Foreign) != "r1" {
+		t.Errorf("%+v", v)
+	}
+	for i, id := range []string{"x", "y"} {
+		restored.made(t, put(id, "/settings/c", string(rune('1'+i))))
+	}
+	if v := restored.Judge(3, []Lease{{Report: f.Ask()}}, nil); v.Everywhere || names(v.Foreign) != "r1" {
+		t.Errorf("%+v", v) // the same number, another content
+	}
+	if u := restored.Next(f.Ask()); !u.Snapshot {
+		t.Errorf("%+v", u)
+	}
+	f.follow(t, restored)
+	if _, ahead := f.Ahead(); ahead {
+		t.Error("still ahead")
+	}
+	if v := restored.Judge(3, []Lease{{Report: f.Ask()}}, nil); !v.Everywhere {
+		t.Errorf("%+v", v)
+	}
+}
+
+// Losses go round the keepers at once, then wait longer with each round, up to a bound; an answer ends that.
+func TestBackOff(t *testing.T) {
+	f := NewFollower("r", "1")
+	now, asked := 0.0, map[int]int{}
+	for i := range 3 {
+		asked[f.Keeper(3)]++
+		wait := f.Lost(now, 0.999)
+		if most := 100.0; i < 2 && wait >= most || i == 2 && (wait < 250 || wait > 500) {
+			t.Error(i, wait)
+		}
+		if again := f.Lost(now+wait/2, 0.5); math.Abs(again-wait/2) > 1e-9 { // told twice
+			t.Error(again, wait)
+		}
+		now += wait
+	}
+	if len(asked) != 3 {
+		t.Error(asked)
+	}
+	last := 0.0
+	for i := range 30 {
+		wait := f.Lost(now, 0)
+		if now += wait; wait < last || wait > MostWaitMS/2 || i%3 == 0 && wait < 250 {
+			t.Error(i, wait, last)
+		}
+		last = wait
+	}
+	if wait := f.Lost(now, 5); wait != MostWaitMS {
+		t.Error(wait)
+	}
+	now += MostWaitMS
+	at := f.Keeper(3)
+	f.Unchanged()
+	if f.Keeper(3) != at || f.Lost(now, 0) != 0 || f.Keeper(3) == at {
+		t.Error("an answer doesn't end it, or a loss doesn't move on")
+	}
+	// Followers spread over the keepers.
+	first := map[int]int{}
+	for i := range 600 {
+		first[NewFollower("r", "process "+strings.Repeat("i", i)).Keeper(5)]++
+	}
+	for k := range 5 {
+		if first[k] < 60 {
+			t.Error(first)
+		}
+	}
+	if NewFollower("r", "1").Keeper(0) != 0 {
+		t.Error("no keepers")
+	}
+}
+
+// A report's fields are checked before it is taken.
+func TestReportCheck(t *testing.T) {
+	for words, r := range map[string]Report{
+		"name":     {Instance: "1"},
+		"instance": {Name: "r"},
+		"refused":  {Name: "r", Instance: "1", Refused: &Refusal{Reason: strings.Repeat("x", MaxNote+1)}},
+	} {
+		if err := r.Check(); err == nil || !strings.Contains(err.Error(), "field "+words) {
+			t.Error(words, err)
+		}
+	}
+	if err := (Report{Name: "r", Instance: "1"}).Check(); err != nil {
+		t.Error(err)
+	}
+}
+
+// A hash is read as it's written, and nothing else is.
+func TestHashText(t *testing.T) {
+	h := HashOf(map[string]json.RawMessage{"/settings/a": json.RawMessage("1")})
+	text, err := json.Marshal(h)
+	var back Hash
+	if err != nil || json.Unmarshal(text, &back) != nil || back != h || string(text) != `"`+h.String()+`"` {
+		t.Error(string(text), err, back)
+	}
+	for _, s := range []string{"", "00", strings.Repeat("x", 64), strings.Repeat("0", 66)} {
+		if err := back.UnmarshalText([]byte(s)); err == nil || back != h {
+			t.Error(s, err)
+		}
+	}
+	// The same bytes split in another way are another entry, and a sum goes back to where it was.
+	a, b := digest("/settings/a", json.RawMessage("11")), digest("/settings/a1", json.RawMessage("1"))
+	if a == b || h.plus(a).plus(b).minus(a).minus(b) != h || h.plus(a) != a.plus(h) || h.minus(h) != (Hash{}) {
+		t.Error(a, b)
+	}
+}
--- /dev/null
+++ b/internal/decide/rollout/judge_test.go
@@ -0,0 +1,127 @@
+package rollout
+
+import (
+	"encoding/json"
+	"reflect"
+	"testing"
+)
+
+func lease(name, instance string, rev uint64, until float64) Lease {
+	return Lease{Report: Report{Name: name, Instance: instance, Revision: rev}, UntilMS: until}
+}
+
+func names(seats []Seat) string {
+	out := ""
+	for _, s := range seats {
+		out += s.Name + s.Instance
+	}
+	return out
+}
+
+// A lease counts for its length, is renewed by each word, and is first after it ran out.
+func TestLeases(t *testing.T) {
+	l := NewLeases(6000)
+	a, b := Report{Name: "a", Instance: "1", Revision: 3}, Report{Name: "a", Instance: "2"}
+	if !l.Heard(1000, b) || !l.Heard(1000, a) || l.Heard(3000, a) {
+		t.Error("first")
+	}
+	if live := l.Live(6999); len(live) != 2 || live[0].Instance != "1" || live[0].UntilMS != 9000 || live[1].UntilMS != 7000 {
+		t.Errorf("%+v", live)
+	}
+	if live := l.Live(7000); len(live) != 1 || live[0].Revision != 3 {
+		t.Errorf("%+v", live)
+	}
+	if l.Heard(8999, a) || !l.Heard(15_000, a) || !l.Heard(15_000, b) {
+		t.Error("first after a lease")
+	}
+}
+
+// Leases are whole when a length has passed without a gap.
+func TestLeasesSettle(t *testing.T) {
+	l := NewLeases(6000)
+	for ms := 100.0; ms < 6100; ms += 1000 {
+		if l.Settled(ms) {
+			t.Fatal(ms)
+		}
+	}
+	if !l.Settled(6100) || !l.Settled(9100) {
+		t.Error("it isn't whole")
+	}
+	if l.Settled(12_101) { // stopped for more than half of a lease
+		t.Error("whole at once after a stop")
+	}
+	for ms := 12_101.0; ms < 18_101; ms += 1500 {
+		l.Tick(ms)
+		if l.Settled(ms) {
+			t.Fatal(ms)
+		}
+	}
+	if !l.Settled(18_101) {
+		t.Error("it isn't whole again")
+	}
+}
+
+// Who is where: in force, behind, refusing, gone; one that is gone is named and doesn't count.
+func TestJudge(t *testing.T) {
+	refuses := lease("c", "1", 4, 0)
+	refuses.Refused = &Refusal{Revision: 5, Pointer: "/settings/a", Reason: "no"}
+	refusedBefore := lease("d", "1", 4, 0)
+	refusedBefore.Refused = &Refusal{Revision: 4}
+	v := Judge(5, []string{"z", "a", "b", "c", "d"}, []Lease{lease("b", "1", 4, 0), lease("a", "1", 6, 0), refuses, refusedBefore, lease("n", "1", 5, 0)}, nil)
+	if names(v.InForce) != "a1n1" || names(v.Behind) != "b1d1" || names(v.Refused) != "c1" || v.Refused[0].Refused.Pointer != "/settings/a" ||
+		!reflect.DeepEqual(v.Gone, []string{"z"}) || v.Everywhere || v.Revision != 5 {
+		t.Errorf("%+v", v)
+	}
+	for name, c := range map[string]struct {
+		heard     []Lease
+		unreached []string
+		want      bool
+	}{
+		"all":                       {[]Lease{lease("a", "1", 5, 0), lease("b", "1", 5, 0)}, nil, true},
+		"one is gone":               {[]Lease{lease("a", "1", 5, 0)}, nil, true},
+		"nobody":                    {nil, nil, false},
+		"one behind":                {[]Lease{lease("a", "1", 5, 0), lease("b", "1", 4, 0)}, nil, false},
+		"an older life":             {[]Lease{lease("a", "1", 4, 0), lease("a", "2", 5, 0), lease("b", "1", 5, 0)}, nil, false},
+		"all, a keeper unreached":   {[]Lease{lease("a", "1", 5, 0), lease("b", "1", 5, 0)}, []string{"k"}, true},
+		"gone, a keeper unreached":  {[]Lease{lease("a", "1", 5, 0)}, []string{"k"}, false},
+		"went to another keeper":    {[]Lease{lease("a", "1", 4, 9), lease("a", "1", 5, 5), lease("b", "1", 5, 0)}, nil, true},
+		"a refusal that it is past": {[]Lease{{Report: Report{Name: "a", Instance: "1", Revision: 5, Refused: &Refusal{Revision: 6}}}}, nil, true},
+	} {
+		if v := Judge(5, []string{"a", "b"}, c.heard, c.unreached); v.Everywhere != c.want {
+			t.Errorf("%s: %+v", name, v)
+		}
+	}
+	text, err := json.Marshal(Judge(1, nil, nil, nil))
+	if want := `{"revision":1,"in_force":[],"behind":[],"refused":[],"foreign":[],"gone":[],"unreached":[],"everywhere":false}`; err != nil || string(text) != want {
+		t.Errorf("%s, %v", text, err)
+	}
+}
+
+// A follower counts only with the content that the log has under its revision.
+func TestLogJudgesByContent(t *testing.T) {
+	l := filled(t, Terms{Revisions: 2})
+	l.Join("a")
+	l.made(t, put("a", "/settings/a", "1"))
+	at := func(rev uint64, h Hash) []Lease {
+		return []Lease{{Report: Report{Name: "a", Instance: "1", Revision: rev, Hash: h}}}
+	}
+	if v := l.Judge(2, at(2, l.Hash()), nil); !v.Everywhere || names(v.InForce) != "a1" {
+		t.Errorf("%+v", v)
+	}
+	if v := l.Judge(2, at(2, Hash{}), nil); v.Everywhere || names(v.Foreign) != "a1" {
+		t.Errorf("%+v", v)
+	}
+	if v := l.Judge(2, at(7, l.Hash()), nil); v.Everywhere || names(v.Foreign) != "a1" {
+		t.Errorf("%+v", v)
+	}
+	if v := l.Judge(3, at(3, l.Hash()), nil); v.Everywhere { // there is no revision 3
+		t.Errorf("%+v", v)
+	}
+	h := l.Hash()
+	for _, id := range []string{"b", "c", "d"} {
+		l.made(t, put(id, "/settings/a", `"`+id+`"`))
+	}
+	if v := l.Judge(1, at(2, h), nil); v.Everywhere { // compacted: what it holds can't be known
+		t.Errorf("%+v", v)
+	}
+}
