--- a/internal/decide/rollout/change.go
+++ b/internal/decide/rollout/change.go
@@ -102,7 +102,7 @@
 // Report is a follower's word to a keeper: it holds Revision with Hash in force (ACK), and refused Refused (NACK), if any.
 type Report struct {
 	Name     string   `json:"name"`     // of the router, the same in its next life
-	Instance string   `json:"instance"` // of the process, another in each life
+	Instance string   `json:"instance"` // of the process, another in each life; see Instance
 	Revision uint64   `json:"revision"` // 0 for the router's own file alone
 	Hash     Hash     `json:"hash"`
 	Refused  *Refusal `json:"refused,omitempty"`
@@ -116,6 +116,12 @@
 	Reason   string `json:"reason"`
 }
 
+// Instance gives a process its name, from when it started (Unix milliseconds) and a random number: another in each life, and
+// greater in a later one of the same router unless the clock went back. Then a verdict is more careful for a while.
+func Instance(startedMS int64, random uint64) string {
+	return fmt.Sprintf("%012x-%016x", max(startedMS, 0), random)
+}
+
 // Check says which field of a report is wrong, or nothing.
 func (r Report) Check() error {
 	if err := checkLabel("name", r.Name); err != nil {
--- a/internal/decide/rollout/follower.go
+++ b/internal/decide/rollout/follower.go
@@ -1,12 +1,14 @@
 package rollout
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/json"
 	"errors"
 	"fmt"
 	"maps"
+	"slices"
 	"strings"
 )
 
@@ -48,14 +50,14 @@
 type Follower struct {
 	name, instance string
 	now            content
-	next           *content // offered, neither accepted nor refused
-	refused        *Refusal
-	whole          bool // an update didn't fit: the whole is asked for
+	next           *content  // offered, neither accepted nor refused
+	refused        []Refusal // after what is in force, by revision
+	whole          bool      // an update didn't fit: the whole is asked for
 	courier
 }
 
-// NewFollower gives a follower at revision 0, which is the router's own file alone. The instance has to be another in each
-// life of the process.
+// NewFollower gives a follower at revision 0, which is the router's own file alone. The instance is another in
+// each life; see Instance.
 func NewFollower(name, instance string) *Follower {
 	return &Follower{name: name, instance: instance, now: content{entries: map[string]json.RawMessage{}},
 		courier: newCourier(instance)}
@@ -64,7 +66,11 @@
 // Ask gives what the next call says to a keeper, which is also the ACK or NACK of what the last one brought. After an update
 // that didn't fit, the hash is left out, which makes a keeper send the whole.
 func (f *Follower) Ask() Report {
-	r := Report{Name: f.name, Instance: f.instance, Revision: f.now.revision, Hash: f.now.hash, Refused: f.refused}
+	r := Report{Name: f.name, Instance: f.instance, Revision: f.now.revision, Hash: f.now.hash}
+	if n := len(f.refused); n > 0 {
+		last := f.refused[n-1]
+		r.Refused = &last
+	}
 	if f.whole {
 		r.Hash = Hash{}
 	}
@@ -85,7 +91,7 @@
 		return nil, false, fmt.Errorf("%w: from %d to %d at %d", ErrStale, u.From, u.To, f.now.revision)
 	}
 	same := u.To == f.now.revision && u.Hash == f.now.hash
-	if u.Nothing() || same || f.refused != nil && f.refused.Revision == u.To && f.refused.Hash == u.Hash {
+	if u.Nothing() || same || f.hasRefused(u.To, u.Hash) {
 		f.whole = f.whole && !same
 		f.Unchanged()
 		return nil, false, nil
@@ -133,20 +139,36 @@
 
 // Accept says that the candidate is in force. Without a candidate it does nothing.
 func (f *Follower) Accept() {
-	if f.next != nil {
-		f.now, f.next, f.refused, f.whole = *f.next, nil, nil, false
+	if f.next == nil {
+		return
 	}
+	f.now, f.next, f.whole = *f.next, nil, false
+	f.refused = slices.DeleteFunc(f.refused, func(r Refusal) bool { return r.Revision <= f.now.revision })
 }
 
 // Refuse says that the candidate couldn't be brought in force, at which pointer and why; the one before stays. The same content
-// isn't taken again until Retry or a later revision. Without a candidate it does nothing.
+// under the same number isn't taken again in this life until Retry, also if a keeper that is late has offered another between.
+// Without a candidate it does nothing.
 func (f *Follower) Refuse(pointer, reason string) {
-	if f.next != nil {
-		f.refused = &Refusal{Revision: f.next.revision, Hash: f.next.hash, Pointer: cut(pointer, MaxPointer), Reason: cut(reason, MaxNote)}
-		f.next = nil
+	if f.next == nil {
+		return
+	}
+	r := Refusal{Revision: f.next.revision, Hash: f.next.hash, Pointer: cut(pointer, MaxPointer), Reason: cut(reason, MaxNote)}
+	f.next = nil
+	at, _ := slices.BinarySearchFunc(f.refused, r, func(a, b Refusal) int { return cmp.Compare(a.Revision, b.Revision) })
+	f.refused = slices.Insert(f.refused, at, r)
+	if over := len(f.refused) - refusals; over > 0 {
+		f.refused = slices.Delete(f.refused, 0, over)
 	}
 }
 
+// refusals is how many a follower remembers: those of the latest revisions.
+const refusals = 16
+
+func (f *Follower) hasRefused(rev uint64, h Hash) bool {
+	return slices.ContainsFunc(f.refused, func(r Refusal) bool { return r.Revision == rev && r.Hash == h })
+}
+
 // cut gives at most so many bytes of a text, and no part of a character.
 func cut(s string, most int) string {
 	if len(s) > most {
--- a/internal/decide/rollout/follower_test.go
+++ b/internal/decide/rollout/follower_test.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"errors"
+	"fmt"
 	"maps"
 	"math"
 	"strings"
@@ -155,6 +156,52 @@
 	}
 }
 
+// A late keeper's offer between doesn't make a follower forget what it refused, and its memory has a bound.
+func TestFollowerRemembersRefusals(t *testing.T) {
+	l, f := filled(t, Terms{}), NewFollower("r", "1")
+	f.follow(t, l)
+	l.made(t, put("a", "/settings/a", "1"))
+	two := l.Next(f.Ask())
+	good := l.Entries()
+	l.made(t, put("b", "/settings/a", "2"))
+	three := l.Next(f.Ask())
+	offer := func(u Update, want bool) {
+		t.Helper()
+		if _, ok, err := f.Offer(u); ok != want || err != nil {
+			t.Fatal(ok, err)
+		}
+	}
+	offer(three, true)
+	f.Refuse("/settings/a", "no")
+	offer(two, true)
+	f.Refuse("/settings/a", "no")
+	offer(three, false)
+	offer(two, false)
+	if r := f.Ask().Refused; r == nil || r.Revision != 3 {
+		t.Errorf("%+v", r)
+	}
+	f.Retry()
+	offer(three, true)
+	f.Refuse("/settings/a", "no")
+	offer(two, true)
+	f.Accept()
+	f.holds(t, 2, good)
+	offer(l.Since(2, f.now.hash), false)
+	for i := range 2 * refusals {
+		l.made(t, put(fmt.Sprint("c", i), "/settings/a", fmt.Sprint("1", i)))
+		offer(l.Next(f.Ask()), true)
+		f.Refuse("/settings/a", "no")
+	}
+	if r := f.Ask().Refused; len(f.refused) != refusals || r.Revision != l.Revision() {
+		t.Errorf("%d, %+v", len(f.refused), r)
+	}
+	l.made(t, put("d", "/settings/a", "9"))
+	f.follow(t, l)
+	if f.Ask().Refused != nil || len(f.refused) != 0 {
+		t.Error(f.refused)
+	}
+}
+
 // A copy is taken if it's what was saved and not older than what is in force.
 func TestFollowerRestores(t *testing.T) {
 	l, f := filled(t, Terms{}), NewFollower("r", "1")
@@ -223,7 +270,7 @@
 	if err := restored.UnmarshalBinary(old); err != nil {
 		t.Fatal(err)
 	}
-	restored.Join("r")
+	restored.Join("r", "1")
 	f.Keeper(3)
 	for i := range 3 {
 		if _, ahead := f.Ahead(); ahead {
--- a/internal/decide/rollout/judge.go
+++ b/internal/decide/rollout/judge.go
@@ -31,37 +31,23 @@
 	Everywhere bool `json:"everywhere"`
 }
 
-// Judge says where a revision is in force, by the leases of all keepers that were reached and the names of those that weren't.
-// It goes by numbers alone; Log.Judge, which a keeper uses, also looks at the hashes.
+// Judge says where a revision is in force, by the leases of all keepers that were reached, as Live gives them, and the names of
+// those that weren't or that haven't Settled. Only content that the log has under a follower's revision counts, and of a
+// revision that isn't there yet, nothing is in force. The log has to be that of a leader, or caught up with it.
 //
-// With a keeper unreached, Everywhere needs each name of the roster to be heard elsewhere: one that isn't might be living
-// there. What that can't see is a second process under a name that is heard, during a takeover, and a router that has never
-// been answered, because a keeper answers only whose name is in the roster.
-func Judge(rev uint64, roster []string, heard []Lease, unreached []string) Verdict {
-	return judge(rev, roster, heard, unreached, func(Report) bool { return true })
-}
-
-// Judge is Judge with this log's roster, and with the hash of each report held against the log: only content that the log has
-// under that revision counts as in force. Of a revision that isn't there yet, nothing is.
+// With a keeper unreached, Everywhere needs the latest process of each name in the roster to be heard elsewhere: one that
+// isn't might be living there. That the name alone is heard isn't enough, since the lease may be that of a former life. What
+// this can't see is the elder process at an unreached keeper while its successor is heard elsewhere, and a router that has
+// never been answered.
 func (l *Log) Judge(rev uint64, heard []Lease, unreached []string) Verdict {
-	return judge(rev, l.Roster(), heard, unreached, l.gave)
-}
-
-// gave says whether what a follower holds is what the log has under that revision. Of one that is compacted it can't be said.
-func (l *Log) gave(r Report) bool {
-	h, kept := l.hashAt(r.Revision)
-	return kept && h == r.Hash
-}
-
-func judge(rev uint64, roster []string, heard []Lease, unreached []string, gave func(Report) bool) Verdict {
 	v := Verdict{Revision: rev, InForce: []Seat{}, Behind: []Seat{}, Refused: []Seat{}, Foreign: []Seat{}, Gone: []string{},
 		Unreached: slices.Sorted(slices.Values(unreached))}
 	if v.Unreached == nil {
 		v.Unreached = []string{}
 	}
-	alive := map[string]bool{}
+	names, seats := map[string]bool{}, map[seat]bool{}
 	for _, lease := range latest(heard) {
-		alive[lease.Name] = true
+		names[lease.Name], seats[seat{lease.Name, lease.Instance}] = true, true
 		s := Seat{Name: lease.Name, Instance: lease.Instance, Revision: lease.Revision, Hash: lease.Hash}
 		switch f := lease.Refused; {
 		case lease.Revision < rev && f != nil && f.Revision >= rev:
@@ -69,23 +55,31 @@
 			v.Refused = append(v.Refused, s)
 		case lease.Revision < rev:
 			v.Behind = append(v.Behind, s)
-		case !gave(lease.Report):
+		case !l.gave(lease.Report):
 			v.Foreign = append(v.Foreign, s)
 		default:
 			v.InForce = append(v.InForce, s)
 		}
 	}
-	for _, name := range slices.Sorted(slices.Values(roster)) {
-		if !alive[name] {
+	missing := false
+	for _, name := range l.Roster() {
+		missing = missing || !seats[seat{name, l.roster[name][0]}]
+		if !names[name] {
 			v.Gone = append(v.Gone, name)
 		}
 	}
 	// Nobody at all is not everywhere: it would tell an operator that something is in force that no router has.
 	v.Everywhere = len(v.InForce) > 0 && len(v.Behind)+len(v.Refused)+len(v.Foreign) == 0 &&
-		(len(unreached) == 0 || len(v.Gone) == 0)
+		(len(unreached) == 0 || !missing)
 	return v
 }
 
+// gave says whether what a follower holds is what the log has under that revision. Of one that is compacted it can't be said.
+func (l *Log) gave(r Report) bool {
+	h, kept := l.hashAt(r.Revision)
+	return kept && h == r.Hash
+}
+
 // latest gives one lease for each process, by name and instance. One that went from a keeper to another has two for a while:
 // the higher revision is the later word, because a follower never goes back.
 func latest(heard []Lease) []Lease {
--- a/internal/decide/rollout/judge_test.go
+++ b/internal/decide/rollout/judge_test.go
@@ -6,10 +6,6 @@
 	"testing"
 )
 
-func lease(name, instance string, rev uint64, until float64) Lease {
-	return Lease{Report: Report{Name: name, Instance: instance, Revision: rev}, UntilMS: until}
-}
-
 func names(seats []Seat) string {
 	out := ""
 	for _, s := range seats {
@@ -61,37 +57,58 @@
 	}
 }
 
+// judged has a log with revisions 1 to 6, to hold reports against.
+func judged(t *testing.T, roster ...string) (*Log, func(name, instance string, rev uint64, until float64) Lease) {
+	l := NewLog(Terms{})
+	hashes := []Hash{{}}
+	for i := range 6 {
+		l.made(t, put(string(rune('a'+i)), "/settings/a", string(rune('1'+i))))
+		hashes = append(hashes, l.Hash())
+	}
+	for _, n := range roster {
+		l.Join(n, "1")
+	}
+	return l, func(name, instance string, rev uint64, until float64) Lease {
+		return Lease{Report: Report{Name: name, Instance: instance, Revision: rev, Hash: hashes[rev]}, UntilMS: until}
+	}
+}
+
 // Who is where: in force, behind, refusing, gone; one that is gone is named and doesn't count.
 func TestJudge(t *testing.T) {
+	l, lease := judged(t, "z", "a", "b", "c", "d")
 	refuses := lease("c", "1", 4, 0)
 	refuses.Refused = &Refusal{Revision: 5, Pointer: "/settings/a", Reason: "no"}
 	refusedBefore := lease("d", "1", 4, 0)
 	refusedBefore.Refused = &Refusal{Revision: 4}
-	v := Judge(5, []string{"z", "a", "b", "c", "d"}, []Lease{lease("b", "1", 4, 0), lease("a", "1", 6, 0), refuses, refusedBefore, lease("n", "1", 5, 0)}, nil)
+	v := l.Judge(5, []Lease{lease("b", "1", 4, 0), lease("a", "1", 6, 0), refuses, refusedBefore, lease("n", "1", 5, 0)}, nil)
 	if names(v.InForce) != "a1n1" || names(v.Behind) != "b1d1" || names(v.Refused) != "c1" || v.Refused[0].Refused.Pointer != "/settings/a" ||
 		!reflect.DeepEqual(v.Gone, []string{"z"}) || v.Everywhere || v.Revision != 5 {
 		t.Errorf("%+v", v)
 	}
+	l, lease = judged(t, "a", "b")
+	past := lease("a", "1", 5, 0)
+	past.Refused = &Refusal{Revision: 6}
 	for name, c := range map[string]struct {
 		heard     []Lease
 		unreached []string
 		want      bool
 	}{
-		"all":                       {[]Lease{lease("a", "1", 5, 0), lease("b", "1", 5, 0)}, nil, true},
-		"one is gone":               {[]Lease{lease("a", "1", 5, 0)}, nil, true},
-		"nobody":                    {nil, nil, false},
-		"one behind":                {[]Lease{lease("a", "1", 5, 0), lease("b", "1", 4, 0)}, nil, false},
-		"an older life":             {[]Lease{lease("a", "1", 4, 0), lease("a", "2", 5, 0), lease("b", "1", 5, 0)}, nil, false},
-		"all, a keeper unreached":   {[]Lease{lease("a", "1", 5, 0), lease("b", "1", 5, 0)}, []string{"k"}, true},
-		"gone, a keeper unreached":  {[]Lease{lease("a", "1", 5, 0)}, []string{"k"}, false},
-		"went to another keeper":    {[]Lease{lease("a", "1", 4, 9), lease("a", "1", 5, 5), lease("b", "1", 5, 0)}, nil, true},
-		"a refusal that it is past": {[]Lease{{Report: Report{Name: "a", Instance: "1", Revision: 5, Refused: &Refusal{Revision: 6}}}}, nil, true},
+		"all":                                    {[]Lease{lease("a", "1", 5, 0), lease("b", "1", 5, 0)}, nil, true},
+		"one is gone":                            {[]Lease{lease("a", "1", 5, 0)}, nil, true},
+		"nobody":                                 {nil, nil, false},
+		"one behind":                             {[]Lease{lease("a", "1", 5, 0), lease("b", "1", 4, 0)}, nil, false},
+		"an older life":                          {[]Lease{lease("a", "0", 4, 0), lease("a", "1", 5, 0), lease("b", "1", 5, 0)}, nil, false},
+		"all, a keeper unreached":                {[]Lease{lease("a", "1", 5, 0), lease("b", "1", 5, 0)}, []string{"k"}, true},
+		"gone, a keeper unreached":               {[]Lease{lease("a", "1", 5, 0)}, []string{"k"}, false},
+		"a former life only, a keeper unreached": {[]Lease{lease("a", "1", 5, 0), lease("b", "0", 5, 0)}, []string{"k"}, false},
+		"went to another keeper":                 {[]Lease{lease("a", "1", 4, 9), lease("a", "1", 5, 5), lease("b", "1", 5, 0)}, nil, true},
+		"a refusal that is later":                {[]Lease{past}, nil, true},
 	} {
-		if v := Judge(5, []string{"a", "b"}, c.heard, c.unreached); v.Everywhere != c.want {
+		if v := l.Judge(5, c.heard, c.unreached); v.Everywhere != c.want {
 			t.Errorf("%s: %+v", name, v)
 		}
 	}
-	text, err := json.Marshal(Judge(1, nil, nil, nil))
+	text, err := json.Marshal(NewLog(Terms{}).Judge(1, nil, nil))
 	if want := `{"revision":1,"in_force":[],"behind":[],"refused":[],"foreign":[],"gone":[],"unreached":[],"everywhere":false}`; err != nil || string(text) != want {
 		t.Errorf("%s, %v", text, err)
 	}
@@ -100,7 +117,7 @@
 // A follower counts only with the content that the log has under its revision.
 func TestLogJudgesByContent(t *testing.T) {
 	l := filled(t, Terms{Revisions: 2})
-	l.Join("a")
+	l.Join("a", "1")
 	l.made(t, put("a", "/settings/a", "1"))
 	at := func(rev uint64, h Hash) []Lease {
 		return []Lease{{Report: Report{Name: "a", Instance: "1", Revision: rev, Hash: h}}}
--- a/internal/decide/rollout/log.go
+++ b/internal/decide/rollout/log.go
@@ -63,8 +63,8 @@
 	records []record
 	kept    int // bytes of records
 	ids     map[string]made
-	idOrder []string // as made, oldest first
-	roster  map[string]bool
+	idOrder []string             // as made, oldest first
+	roster  map[string][2]string // two instances of each name, the latest first
 }
 
 // NewLog gives a Log at revision 0, with no entries.
@@ -76,7 +76,7 @@
 		t.Bytes = DefaultTerms.Bytes
 	}
 	return &Log{terms: t, entries: map[string]json.RawMessage{}, inner: map[string]int{}, ids: map[string]made{},
-		roster: map[string]bool{}}
+		roster: map[string][2]string{}}
 }
 
 // Revision is the one in force; 0 before the first change.
@@ -250,18 +250,30 @@
 	}
 }
 
-// Join notes the name of a follower for good; true if it is new. A wrong name or one beyond MaxRoster is not noted.
-func (l *Log) Join(name string) bool {
-	if l.roster[name] || len(l.roster) >= MaxRoster || checkLabel("name", name) != nil {
+// Join notes a follower's process: a keeper that hears one that isn't Joined proposes it, and answers when it is. True if it
+// is new. Of two processes the one with the greater instance is the later, whichever is noted first: a call of a process that
+// has ended can come late. A wrong name or instance, or a name beyond MaxRoster, is not noted.
+func (l *Log) Join(name, instance string) bool {
+	seats, known := l.roster[name]
+	if l.Joined(name, instance) || !known && len(l.roster) >= MaxRoster || (Report{Name: name, Instance: instance}).Check() != nil {
 		return false
 	}
-	l.roster[name] = true
+	if instance > seats[0] {
+		seats[0], instance = instance, seats[0]
+	}
+	l.roster[name] = [2]string{seats[0], instance}
 	return true
 }
 
+// Joined says whether a process is one of the two that are noted under its name: during a takeover both live.
+func (l *Log) Joined(name, instance string) bool {
+	seats, known := l.roster[name]
+	return known && instance != "" && (seats[0] == instance || seats[1] == instance)
+}
+
 // Forget takes the name of a follower that won't come back out; true if it was there.
 func (l *Log) Forget(name string) bool {
-	known := l.roster[name]
+	_, known := l.roster[name]
 	delete(l.roster, name)
 	return known
 }
--- a/internal/decide/rollout/log_test.go
+++ b/internal/decide/rollout/log_test.go
@@ -156,22 +156,36 @@
 	}
 }
 
-// The roster takes each name once, and none that is wrong or beyond the bound.
+// The roster takes each name once, with its two latest processes, and none that is wrong or beyond the bound.
 func TestRoster(t *testing.T) {
 	l := NewLog(Terms{})
-	if !l.Join("b") || !l.Join("a") || l.Join("b") || l.Join("") || l.Join("\x00") {
+	if !l.Join("b", "1") || !l.Join("a", "1") || l.Join("b", "1") || l.Join("", "1") || l.Join("\x00", "1") || l.Join("c", "") {
 		t.Error(l.Roster())
 	}
 	if r := l.Roster(); !reflect.DeepEqual(r, []string{"a", "b"}) {
 		t.Error(r)
 	}
-	if !l.Forget("a") || l.Forget("a") || len(l.Roster()) != 1 {
+	// Two that live side by side don't push each other out.
+	if !l.Join("a", "2") || l.Join("a", "1") || l.Join("a", "2") || !l.Join("a", "4") || l.Joined("a", "1") || !l.Joined("a", "2") || !l.Joined("a", "4") {
+		t.Error(l.roster)
+	}
+	// A late word of an earlier process doesn't make it the latest.
+	if !l.Join("a", "3") || l.roster["a"] != [2]string{"4", "3"} || !l.Join("a", "2") || l.roster["a"] != [2]string{"4", "2"} {
+		t.Error(l.roster)
+	}
+	if Instance(1000, 7) >= Instance(1001, 3) || Instance(-5, 1) != Instance(0, 1) || len(Instance(1<<40, 1<<63)) > MaxID {
+		t.Error(Instance(1000, 7))
+	}
+	if l.Joined("b", "") || l.Joined("b", "2") || l.Joined("c", "1") {
+		t.Error(l.roster)
+	}
+	if !l.Forget("a") || l.Forget("a") || len(l.Roster()) != 1 || l.Joined("a", "4") {
 		t.Error(l.Roster())
 	}
 	for i := range MaxRoster {
-		l.Join(fmt.Sprint(i))
+		l.Join(fmt.Sprint(i), "1")
 	}
-	if len(l.Roster()) != MaxRoster || l.Join("late") {
+	if len(l.Roster()) != MaxRoster || l.Join("late", "1") || !l.Join("b", "2") {
 		t.Error(len(l.Roster()))
 	}
 }
--- /dev/null
+++ b/internal/decide/rollout/model_test.go
@@ -0,0 +1,188 @@
+package rollout
+
+import (
+	"encoding/json"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// model is the plain reckoning of a log: each revision's whole content, and no bounds but the number of revisions.
+type model struct {
+	contents []map[string]json.RawMessage
+	keep     int
+	ids      map[string]string // what each ID said
+	revs     map[string]uint64
+}
+
+func newModel(keep int) *model {
+	return &model{contents: []map[string]json.RawMessage{{}}, keep: keep, ids: map[string]string{}, revs: map[string]uint64{}}
+}
+
+func (m *model) revision() uint64                    { return uint64(len(m.contents) - 1) }
+func (m *model) oldest() uint64                      { return uint64(max(0, len(m.contents)-1-m.keep)) }
+func (m *model) content() map[string]json.RawMessage { return m.contents[len(m.contents)-1] }
+
+// apply gives the kind of fault, "repeated" or nothing, and the revision. Its changes have canonical values and places that
+// can be put.
+func (m *model) apply(c Change) (string, uint64) {
+	c.AtMS = 0
+	c.Remove = slices.Sorted(slices.Values(c.Remove))
+	text, _ := json.Marshal(c)
+	if said, ok := m.ids[c.ID]; ok {
+		if said != string(text) {
+			return string(FaultReused), m.revs[c.ID]
+		}
+		return "repeated", m.revs[c.ID]
+	}
+	if c.Expect != nil && *c.Expect != m.revision() {
+		return string(FaultConflict), m.revision()
+	}
+	next := maps.Clone(m.content())
+	if c.RevertTo != nil {
+		switch {
+		case *c.RevertTo > m.revision():
+			return string(FaultInvalid), m.revision()
+		case *c.RevertTo < m.oldest():
+			return string(FaultCompacted), m.revision()
+		}
+		next = maps.Clone(m.contents[*c.RevertTo])
+	}
+	for _, p := range c.Remove {
+		if _, ok := next[p]; !ok {
+			return string(FaultInvalid), m.revision()
+		}
+		delete(next, p)
+	}
+	maps.Copy(next, c.Put)
+	for p := range next {
+		for q := range next {
+			if strings.HasPrefix(q, p+"/") {
+				return string(FaultInvalid), m.revision()
+			}
+		}
+	}
+	m.contents = append(m.contents, next)
+	m.ids[c.ID], m.revs[c.ID] = string(text), m.revision()
+	return "", m.revision()
+}
+
+// drawer draws a number from 0 to n-1: by rapid, or from a fixed row of numbers where a broken variant has to be caught.
+type drawer func(n int, what string) int
+
+func byRapid(t *rapid.T) drawer {
+	return func(n int, what string) int { return rapid.IntRange(0, n-1).Draw(t, what) }
+}
+
+var places = []string{"/board", "/settings/a", "/settings/a/b", "/settings/a/b/c", "/settings/d", "/settings/parties/p", "/settings/parties/q"}
+
+// change draws a change, often one that is at fault. The filler makes the whole larger than a delta, most of the time.
+func (draw drawer) change(id string, now uint64) Change {
+	c := Change{ID: id, AtMS: int64(draw(3, "at"))}
+	if draw(4, "cas") == 0 {
+		c.Expect = number(now + uint64(draw(2, "off")))
+	}
+	if draw(8, "revert") == 0 {
+		c.RevertTo = number(now - min(now, uint64(draw(8, "back"))))
+		return c
+	}
+	c.Put = map[string]json.RawMessage{}
+	for range 1 + draw(2, "puts") {
+		p := places[draw(len(places), "place")]
+		v := fmt.Sprint(draw(4, "value"))
+		switch {
+		case p == "/board":
+			v = `"b:` + v + `"`
+		case strings.HasPrefix(p, partiesPath):
+			v = `{"share":` + v + `}`
+		}
+		c.Put[p] = json.RawMessage(v)
+	}
+	if draw(6, "fill") == 0 {
+		c.Put["/settings/filler"] = json.RawMessage(`"` + strings.Repeat("x", 50+100*draw(3, "fill")) + `"`)
+	}
+	for range draw(3, "removes") {
+		if p := places[draw(len(places), "place")]; c.Put[p] == nil && !slices.Contains(c.Remove, p) {
+			c.Remove = append(c.Remove, p)
+		}
+	}
+	return c
+}
+
+// same draws for each run, unless the command line says otherwise.
+func drawn(t *testing.T, checks string, prop func(*rapid.T)) {
+	t.Helper()
+	restore := fixDraws(t, checks)
+	defer restore()
+	rapid.Check(t, prop)
+}
+
+// The log does what the plain reckoning does: results, contents of all revisions kept, and what every follower gets from
+// whatever revision leads to the content in force. Its state comes back the same at any step.
+func TestLogAgainstPlainReckoning(t *testing.T) {
+	drawn(t, "400", func(t *rapid.T) {
+		draw := byRapid(t)
+		l, m := NewLog(Terms{Revisions: 5}), newModel(5)
+		for i := range 40 {
+			id := fmt.Sprint(i)
+			if draw(8, "again") == 0 {
+				id = fmt.Sprint(draw(i+1, "id"))
+			}
+			c := draw.change(id, m.revision())
+			preview, fault := l.Preview(c)
+			kind, rev := m.apply(c)
+			r := l.Apply(c)
+			switch {
+			case r.Fault != nil && (string(r.Fault.Kind) != kind || !reflect.DeepEqual(fault, r.Fault)):
+				t.Fatalf("%+v: %v, by preview %v, not %q", c, r.Fault, fault, kind)
+			case r.Fault == nil && (r.Revision != rev || r.Repeated != (kind == "repeated") || kind != "" && kind != "repeated" || fault != nil):
+				t.Fatalf("%+v: %+v, not %q %d, preview %v", c, r, kind, rev, fault)
+			case r.Fault == nil && !maps.EqualFunc(preview, m.content(), equal):
+				t.Fatalf("%+v: preview %v", c, preview)
+			}
+			m.compare(t, l)
+		}
+		state, _ := l.MarshalBinary()
+		back := NewLog(Terms{})
+		if err := back.UnmarshalBinary(state); err != nil || !reflect.DeepEqual(l, back) {
+			t.Fatal("the state didn't come back", err)
+		}
+	})
+}
+
+func (m *model) compare(t *rapid.T, l *Log) {
+	if l.Revision() != m.revision() || l.Oldest() != m.oldest() || !maps.EqualFunc(l.Entries(), m.content(), equal) || l.Hash() != HashOf(m.content()) {
+		t.Fatalf("%d from %d %v, not %d from %d %v", l.Revision(), l.Oldest(), l.Entries(), m.revision(), m.oldest(), m.content())
+	}
+	for rev, want := range m.contents {
+		got, fault := l.At(uint64(rev))
+		if uint64(rev) < m.oldest() {
+			if fault == nil || fault.Kind != FaultCompacted || fault.Revision != m.oldest() {
+				t.Fatalf("%d: %v %v", rev, got, fault)
+			}
+		} else if fault != nil || !maps.EqualFunc(got, want, equal) {
+			t.Fatalf("%d: %v %v, not %v", rev, got, fault, want)
+		}
+		u := l.Since(uint64(rev), HashOf(want))
+		to := maps.Clone(want)
+		if u.Snapshot {
+			to = u.Put
+		} else {
+			for _, p := range u.Remove {
+				if to[p] == nil {
+					t.Fatalf("from %d: removes %s", rev, p)
+				}
+				delete(to, p)
+			}
+			maps.Copy(to, u.Put)
+		}
+		if !maps.EqualFunc(to, m.content(), equal) || u.Hash != l.Hash() || u.To != m.revision() || u.Behind {
+			t.Fatalf("from %d: %+v", rev, u)
+		}
+	}
+}
--- a/internal/decide/rollout/state.go
+++ b/internal/decide/rollout/state.go
@@ -42,6 +42,8 @@
 	w.number(uint64(len(roster)))
 	for _, n := range roster {
 		w.text(n)
+		w.text(l.roster[n][0])
+		w.text(l.roster[n][1])
 	}
 	sum := sha256.Sum256(w.b)
 	return append(w.b, sum[:]...), nil
@@ -81,7 +83,7 @@
 		n.idOrder = append(n.idOrder, id)
 	}
 	for range r.count() {
-		n.roster[r.text()] = true
+		n.roster[r.text()] = [2]string{r.text(), r.text()}
 	}
 	if h, _ := n.hashAt(n.Revision()); r.err == nil && h != n.hash {
 		return fmt.Errorf("%w: the last revision doesn't have the hash of the entries", ErrDamaged)
