--- a/internal/decide/rollout/hash.go
+++ b/internal/decide/rollout/hash.go
@@ -49,8 +49,8 @@
 // digest is what one entry adds to the hash. The length goes first, so that no other split of the same bytes into a pointer
 // and a value has the same digest.
 func digest(pointer string, value json.RawMessage) Hash {
-	b := make([]byte, 0, 4+len(pointer)+len(value))
-	b = binary.LittleEndian.AppendUint32(b, uint32(len(pointer)))
+	var short [256]byte // most entries need no memory of their own
+	b := binary.LittleEndian.AppendUint32(short[:0], uint32(len(pointer)))
 	b = append(append(b, pointer...), value...)
 	return sha256.Sum256(b)
 }
