--- a/internal/decide/rollout/bench_test.go
+++ b/internal/decide/rollout/bench_test.go
@@ -66,6 +66,21 @@
 	})
 }
 
+// What a follower gets that is 1,000 revisions late, at 1,000 entries.
+func BenchmarkSinceLate(b *testing.B) {
+	l := grown(b, 1000)
+	rev, h := l.Revision(), l.Hash()
+	for i := range 1000 {
+		l.made(b, put(fmt.Sprint("late ", i), party(i%400), fmt.Sprintf(`{"quota-rps":%d}`, i)))
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		if u := l.Since(rev, h); u.Snapshot || len(u.Put) != 400 {
+			b.Fatal("no delta")
+		}
+	}
+}
+
 // What a follower gets that has nothing.
 func BenchmarkSinceSnapshot(b *testing.B) {
 	sizes(b, func(b *testing.B, l *Log, entries int) {
