--- a/internal/decide/rollout/courier.go
+++ b/internal/decide/rollout/courier.go
@@ -16,7 +16,7 @@
 	MostWaitMS = 4_000
 )
 
-// courier decides which keeper is asked and how long is waited after a failure.
+// courier is what a follower knows of the keepers: which one is asked, and how long is waited after a failure.
 type courier struct {
 	start   uint32 // another for each process, so that followers spread over the keepers
 	moves   uint32
@@ -34,46 +34,46 @@
 }
 
 // Keeper says which of n keepers, 0 to n-1, is asked next: the same until one is lost.
-func (c *courier) Keeper(n int) int {
-	c.keepers = max(n, 1)
-	return int((c.start + c.moves) % uint32(c.keepers))
+func (f *Follower) Keeper(n int) int {
+	f.keepers = max(n, 1)
+	return int((f.start + f.moves) % uint32(f.keepers))
 }
 
 // Unchanged says that a keeper answered that there is nothing new. Offer says it by itself for what it takes.
-func (c *courier) Unchanged() { c.losses, c.behinds, c.theirs = 0, 0, 0 }
+func (f *Follower) Unchanged() { f.losses, f.behinds, f.theirs = 0, 0, 0 }
 
 // Lost says that a call failed, or that its answer couldn't be taken, and gives the milliseconds to wait before the next, which
 // goes to another keeper. A loss that is told during the wait changes nothing: the next keeper hasn't been asked yet. jitter is
 // evenly drawn from 0 up to 1. nowMS is of a clock that doesn't go back.
-func (c *courier) Lost(nowMS, jitter float64) (waitMS float64) {
-	if nowMS < c.untilMS {
-		return c.untilMS - nowMS
+func (f *Follower) Lost(nowMS, jitter float64) (waitMS float64) {
+	if nowMS < f.untilMS {
+		return f.untilMS - nowMS
 	}
-	c.moves++
-	c.losses++
+	f.moves++
+	f.losses++
 	jitter = min(max(jitter, 0), 1)
-	if c.losses < c.keepers {
+	if f.losses < f.keepers {
 		waitMS = jitter * firstWaitMS
 	} else {
 		most := float64(leastWaitMS)
-		for i := c.losses / c.keepers; i > 1 && most < MostWaitMS; i-- {
+		for i := f.losses / f.keepers; i > 1 && most < MostWaitMS; i-- {
 			most *= 2
 		}
 		most = min(most, MostWaitMS)
 		waitMS = most/2 + jitter*most/2
 	}
-	c.untilMS = nowMS + waitMS
+	f.untilMS = nowMS + waitMS
 	return waitMS
 }
 
 // Ahead says that as many answers in a row as there are keepers came from keepers that are behind, and the highest revision
 // among them: the keepers were restored from an older state. The follower keeps what it has until they are past it.
-func (c *courier) Ahead() (theirs uint64, ahead bool) {
-	return c.theirs, c.behinds >= c.keepers
+func (f *Follower) Ahead() (theirs uint64, ahead bool) {
+	return f.theirs, f.behinds >= f.keepers
 }
 
-func (c *courier) behind(theirs, ours uint64) error {
-	c.behinds++
-	c.theirs = max(c.theirs, theirs)
+func (f *Follower) behind(theirs, ours uint64) error {
+	f.behinds++
+	f.theirs = max(f.theirs, theirs)
 	return fmt.Errorf("%w: it is at revision %d, this follower at %d", ErrBehind, theirs, ours)
 }
