Check a configuration in a package below the router, and lay entries over one

The check of the platform's configuration lay in internal/node with the whole router behind it: keepers of the configuration could not ask it without linking fronts and the network. It is now internal/validate, which links neither (tested), and is asked by the router at its start, by 'windflow config check' and by whoever lays entries over a file. The list of engines that a configuration holds is read in internal/settings, as that of the board links the network; board.ParseKnown, ParseID and FormatID moved with their test.

The check now refuses what the module refuses too (classes without a name or with one twice): 'config check' passed such a file, with which the router did not start.

settings.Overlay lays entries (JSON pointer to value) over a file; without entries that is the file, byte for byte. Faults carry the pointer of the entry. The sessions that limits.sockets gives are held by a test: 1,024 gives 409, 5,000 gives 2,000.

--- a/brain/validate.go
+++ b/brain/validate.go
@@ -46,3 +46,6 @@
 	}
 	return nil
 }
+
+// Check names the first setting that makes no sense: New and Configure refuse the same ones.
+func (cfg Config) Check() error { return validate(cfg) }
--- a/cmd/windflow/main.go
+++ b/cmd/windflow/main.go
@@ -13,6 +13,7 @@
 	"windflow/internal/node"
 	"windflow/internal/settings"
 	"windflow/internal/site"
+	"windflow/internal/validate"
 )
 
 func main() {
@@ -99,7 +100,7 @@
 		Listen *string `json:"listen"`
 	}
 	if err := settings.Decode(text, &platform); err == nil && platform.Listen != nil {
-		if err := node.Check(file); err != nil {
+		if err := validate.Platform(text); err != nil {
 			return fmt.Errorf("%s: %w", file, err)
 		}
 		return nil
--- a/internal/board/board.go
+++ b/internal/board/board.go
@@ -11,8 +11,6 @@
 	"math"
 	"math/rand/v2"
 	"net/netip"
-	"strconv"
-	"strings"
 
 	"windflow/brain"
 	"windflow/internal/clock"
@@ -50,94 +48,11 @@
 )
 
 // List is one event: engines, and where they listen.
-type List struct {
-	Events brain.EngineList
-	Addrs  map[brain.EngineID]string
-}
+type List = settings.EngineList
 
 // Names are the lists of the settings that records point into.
 type Names struct{ Zones, Kinds []string }
 
-var states = map[string]brain.EngineState{"active": brain.Live, "leaving": brain.Draining, "left": brain.Gone}
-
-// ParseKnown folds the events that the configuration holds into one complete list, and gives the number of
-// the last one.
-func ParseKnown(text []byte) (List, uint64, error) {
-	var known struct {
-		Rev     uint64 `json:"rev"`
-		Notices []struct {
-			Rev  uint64 `json:"rev"`
-			Pool *struct {
-				Complete bool `json:"complete"`
-				Members  []struct {
-					ID       string  `json:"id"`
-					HostPort string  `json:"host_port"`
-					Locality string  `json:"locality"`
-					Flavor   string  `json:"flavor"`
-					Cell     int     `json:"cell"`
-					Phase    string  `json:"phase"`
-					Size     float64 `json:"size"`
-					UpSince  float64 `json:"up_since_ms"`
-				} `json:"members"`
-			} `json:"pool"`
-		} `json:"notices"`
-	}
-	l := List{Events: brain.EngineList{Mode: brain.ListSaved}, Addrs: map[brain.EngineID]string{}}
-	if len(text) == 0 {
-		return l, 0, nil
-	}
-	if err := settings.Decode(text, &known); err != nil {
-		return l, 0, err
-	}
-	at := map[brain.EngineID]int{}
-	for i, n := range known.Notices {
-		if n.Pool == nil {
-			continue
-		}
-		if n.Pool.Complete {
-			l.Events.Engines, l.Addrs = nil, map[brain.EngineID]string{}
-			clear(at)
-		}
-		for j, m := range n.Pool.Members {
-			field := fmt.Sprintf("notices[%d].pool.members[%d]", i, j)
-			id, err := ParseID(m.ID)
-			if err != nil {
-				return l, 0, fmt.Errorf("%s.id: %w", field, err)
-			}
-			state, ok := states[m.Phase]
-			if !ok {
-				return l, 0, fmt.Errorf("%s.phase: unknown value %q", field, m.Phase)
-			}
-			if _, err := netip.ParseAddrPort(m.HostPort); err != nil && state != brain.Gone {
-				return l, 0, fmt.Errorf("%s.host_port: %q is no address and port", field, m.HostPort)
-			}
-			e := brain.Engine{ID: id, Cell: m.Cell, Zone: m.Locality, Kind: m.Flavor, Size: m.Size, State: state,
-				Born: clock.Duration(m.UpSince)}
-			if k, known := at[id]; known {
-				l.Events.Engines[k] = e
-			} else {
-				at[id] = len(l.Events.Engines)
-				l.Events.Engines = append(l.Events.Engines, e)
-			}
-			l.Addrs[id] = m.HostPort
-		}
-	}
-	return l, known.Rev, nil
-}
-
-// FormatID gives an engine's id as it stands in text.
-func FormatID(id brain.EngineID) string { return fmt.Sprintf("s-%08x", uint32(id)) }
-
-// ParseID reads an engine's id as it stands in text.
-func ParseID(s string) (brain.EngineID, error) {
-	hex, ok := strings.CutPrefix(s, "s-")
-	n, err := strconv.ParseUint(hex, 16, 32)
-	if !ok || err != nil || len(hex) != 8 {
-		return 0, fmt.Errorf("%q is not s- and 8 hex digits", s)
-	}
-	return brain.EngineID(n), nil
-}
-
 // frame is one parsed frame.
 type frame struct {
 	number uint64
--- a/internal/board/board_test.go
+++ b/internal/board/board_test.go
@@ -69,30 +69,6 @@
 	}
 }
 
-func TestParseKnown(t *testing.T) {
-	member := func(phase string) string {
-		return `{"id":"s-00c41f7a","host_port":"10.1.0.9:8080","locality":"hall-a","flavor":"std-8","cell":2,"phase":"` +
-			phase + `","size":4,"up_since_ms":1500}`
-	}
-	l, last, err := ParseKnown([]byte(`{"rev":41,"notices":[{"rev":40,"pool":{"complete":true,"members":[` +
-		member("active") + `]}},{"rev":41,"pool":{"complete":false,"members":[` + member("leaving") + `]}}]}`))
-	want := brain.EngineList{Mode: brain.ListSaved, Engines: []brain.Engine{{ID: 0xc41f7a, Zone: "hall-a",
-		Kind: "std-8", Cell: 2, Size: 4, State: brain.Draining, Born: clock.Duration(1500)}}}
-	if diff := cmp.Diff(want, l.Events); diff != "" || err != nil || last != 41 {
-		t.Errorf("last %d, %v, %s", last, err, diff)
-	}
-	for _, k := range []struct{ text, want string }{
-		{`{"rev":1,"notices":[{"pool":{"members":[{"id":"c41f7a"}]}}]}`, "notices[0].pool.members[0].id"},
-		{`{"rev":1,"notices":[{"pool":{"members":[` + member("resting") + `]}}]}`, "members[0].phase"},
-		{`{"rev":"x"}`, "rev"},
-	} {
-		if _, _, err := ParseKnown([]byte(k.text)); err == nil || !strings.Contains(err.Error(), k.want) ||
-			strings.Contains(err.Error(), "\n") {
-			t.Errorf("%s: error %v, want %q", k.text, err, k.want)
-		}
-	}
-}
-
 // dials is a stand-in for the network: it keeps the handlers of the links and what they write.
 type dials struct {
 	links   []netio.Handler
--- a/internal/node/bans.go
+++ b/internal/node/bans.go
@@ -6,13 +6,13 @@
 	"slices"
 
 	"windflow/brain"
-	"windflow/internal/board"
 	"windflow/internal/router"
+	"windflow/internal/settings"
 )
 
 // order carries out an operator's word on an engine, and answers once it is in force in all processes of this router.
 func (r *node) order(engine string, exclude bool, answer func(bool)) {
-	id, err := board.ParseID(engine)
+	id, err := settings.ParseID(engine)
 	if err != nil {
 		answer(false)
 		return
@@ -39,7 +39,7 @@
 		apply()
 		return
 	}
-	engine := board.FormatID(id)
+	engine := settings.FormatID(id)
 	cant := func(err error) {
 		r.log.Warn("bans can't be noted for other processes of this router", "engine", engine, "err", err)
 		r.unnoted = true // the folder would undo it
@@ -79,7 +79,7 @@
 	}
 	now := map[brain.EngineID]bool{}
 	for _, name := range names {
-		if id, err := board.ParseID(name); err == nil {
+		if id, err := settings.ParseID(name); err == nil {
 			now[id] = true
 		}
 	}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -10,13 +10,13 @@
 	"syscall"
 	"time"
 
-	"windflow/brain"
 	"windflow/internal/board"
 	"windflow/internal/decide/takeover"
 	"windflow/internal/fetch"
 	"windflow/internal/mysql"
 	"windflow/internal/settings"
 	"windflow/internal/site"
+	"windflow/internal/validate"
 )
 
 // patience is how often and at what distance retry tries again: for two seconds in all for a file. An address is waited for
@@ -57,22 +57,6 @@
 	return cfg, err
 }
 
-// Check reads a configuration of the platform's as a router would, and tells what can't be used.
-func Check(path string) error {
-	cfg, err := settings.ReadNode(path)
-	if err != nil {
-		return err
-	}
-	if _, _, err := board.ParseKnown(cfg.Known); err != nil {
-		return fmt.Errorf("field known: %w", err)
-	}
-	if _, err := decisionsOf(cfg, cfg.SeedValue); err != nil {
-		return fmt.Errorf("field settings: %w", err)
-	}
-	_, err = boundsOf(cfg, 0)
-	return err
-}
-
 // bounds are those of the configuration, or this process's part of them while another one stands for the same router.
 func (r *node) bounds(cfg *settings.Node) (bounds, error) {
 	b, err := boundsOf(cfg, r.setAside())
@@ -97,34 +81,15 @@
 	fetch   fetch.Config
 }
 
-// boundsOf divides the descriptors; taken are those of parts that the configuration does not name.
+// boundsOf gives each part what the configuration has for it; taken are the descriptors of parts that it does not name.
 func boundsOf(cfg *settings.Node, taken int) (bounds, error) {
-	sockets := cfg.Limits.Sockets
-	if sockets == 0 {
-		sockets = 1024
-	}
-	kept := min(reserved+starting, sockets/3)
-	memory := cfg.Limits.MemoryMB << 20
-	if memory == 0 {
-		memory = 192 << 20
-	}
-	b := bounds{inbound: min(max(memory/16, 256<<10), 4<<20)}
-	b.mysql = mysql.Config{MaxSessions: int(sessionShare * float64(sockets)), MaxBuffered: memory / 8}
-	b.fetch = fetch.Config{MaxConns: sockets - b.mysql.MaxSessions - kept - taken,
-		ConnectTimeoutMS: float64(cfg.Parsed.Limits.ConnectTimeout) / 1e6,
-		IdleMS:           float64(cfg.Parsed.Limits.ConnIdle) / 1e6}
-	if b.fetch.MaxConns < 16 {
-		return b, fmt.Errorf("field limits.sockets: %d leaves no connections for engines", sockets)
-	}
-	return b, nil
-}
-
-// decisionsOf gives what the module is told. Clients hold at most a third of the descriptors: were most of that taken by
-// queries that are held with little hope, new ones could not even be asked.
-func decisionsOf(cfg *settings.Node, seed uint64) (brain.Config, error) {
-	d, err := cfg.Parsed.Config(seed)
-	d.MaxHeld = int(heldShare * float64(cfg.Limits.Sockets))
-	return d, err
+	n, err := validate.BoundsOf(cfg, taken)
+	return bounds{
+		inbound: n.Inbound,
+		mysql:   mysql.Config{MaxSessions: n.Sessions, MaxBuffered: n.Buffered},
+		fetch: fetch.Config{MaxConns: n.EngineConns, ConnectTimeoutMS: float64(cfg.Parsed.Limits.ConnectTimeout) / 1e6,
+			IdleMS: float64(cfg.Parsed.Limits.ConnIdle) / 1e6},
+	}, err
 }
 
 func namesOf(cfg *settings.Node) board.Names {
@@ -189,7 +154,7 @@
 // configure puts other settings in force, whole or, where they can't be used, not at all. Open requests, sessions and
 // connections are not touched. What can't change while running keeps its value, and the log names it.
 func (r *node) configure(cfg *settings.Node, s *site.Settings) error {
-	decisions, err := decisionsOf(cfg, r.cfg.SeedValue)
+	decisions, err := validate.Decisions(cfg, r.cfg.SeedValue)
 	if err != nil {
 		return fmt.Errorf("field settings: %w", err)
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -23,21 +23,13 @@
 	"windflow/internal/router"
 	"windflow/internal/settings"
 	"windflow/internal/site"
+	"windflow/internal/validate"
 )
 
 const (
 	// memoryShare is the share of the memory limit that the runtime is told to keep within: stacks, the
 	// poller's buffers and the kernel's view of freed pages need the rest.
 	memoryShare = 0.7
-	// sessionShare is the share of the descriptors that client sessions may hold; clients use up to a third.
-	sessionShare = 0.4
-	// heldShare is the number of requests against the descriptors that may be held at once; see decisionsOf.
-	heldShare = 1.0 / 12
-	// reserved descriptors are for the listeners, the board, the log, the poller, operators, and connections that stand
-	// twice for a moment while they pass from the system's dialer to the poller; a third of them all where they are few.
-	reserved = 64
-	// starting descriptors are left for a successor, which needs them before the two have met; they count together.
-	starting = 40
 	// graceMS is how long after SIGTERM requests may still come, in milliseconds; PROTOCOL says 600.
 	graceMS = 1000.0
 	// After SIGTERM a kill comes no sooner than the longest deadline, counted as patienceAlone at most, or in an upgrade
@@ -172,11 +164,11 @@
 // build wires the parts together. They accept no clients yet; operators are heard.
 func (r *node) build() error {
 	cfg, log := r.cfg, r.log
-	known, last, err := board.ParseKnown(cfg.Known)
+	known, last, err := settings.ParseKnown(cfg.Known)
 	if err != nil {
 		return fmt.Errorf("field known: %w", err)
 	}
-	decisions, err := decisionsOf(cfg, cfg.SeedValue)
+	decisions, err := validate.Decisions(cfg, cfg.SeedValue)
 	if err != nil {
 		return fmt.Errorf("field settings: %w", err)
 	}
--- a/internal/node/part_record.go
+++ b/internal/node/part_record.go
@@ -6,12 +6,12 @@
 	"sync/atomic"
 
 	"windflow/brain"
-	"windflow/internal/board"
 	"windflow/internal/clock"
 	"windflow/internal/record"
 	"windflow/internal/router"
 	"windflow/internal/settings"
 	"windflow/internal/site"
+	"windflow/internal/validate"
 )
 
 const (
@@ -43,7 +43,7 @@
 		return nil
 	}
 	c := &recorder{r: r, states: map[brain.EngineID]record.State{}, seen: map[brain.EngineID]bool{}, most: cfg.Samples}
-	c.meter = record.NewMeter(func(id uint64) string { return board.FormatID(brain.EngineID(id)) })
+	c.meter = record.NewMeter(func(id uint64) string { return settings.FormatID(brain.EngineID(id)) })
 	return &part{
 		name:        "records",
 		descriptors: 2, // a segment, and the folder while it is swept
@@ -88,7 +88,7 @@
 }
 
 func classesOf(cfg *settings.Node) (all []record.Class) {
-	d, _ := decisionsOf(cfg, 0)
+	d, _ := validate.Decisions(cfg, 0)
 	for _, k := range d.Classes {
 		all = append(all, record.Class{Name: k.Name, Worth: k.Worth, LateWorth: k.LateWorth, AimMS: clock.Millis(k.Aim)})
 	}
@@ -145,7 +145,7 @@
 }
 
 func (c *recorder) change(now float64, e *brain.EngineView, state record.State) {
-	r := &record.Engine{At: now, ID: board.FormatID(e.ID), State: state, Was: c.states[e.ID], Slow: e.Slow, Fail: e.Fail,
+	r := &record.Engine{At: now, ID: settings.FormatID(e.ID), State: state, Was: c.states[e.ID], Slow: e.Slow, Fail: e.Fail,
 		Lost: e.Lost, Zone: e.Zone, Kind: e.Kind}
 	if state == record.Cold {
 		r.WarmAt = clock.Millis(e.WarmAt)
@@ -218,7 +218,7 @@
 		a := &record.Answer{At: c.r.loop.Now(), ID: q.ID, Class: q.Class, Tenant: q.Tenant, Refused: how == record.Refused,
 			Reason: what.Reason, AfterMS: what.TookMS}
 		if what.Engine != 0 {
-			a.Engine = board.FormatID(what.Engine)
+			a.Engine = settings.FormatID(what.Engine)
 		}
 		c.w.Put(a)
 	}
--- a/internal/node/takeover.go
+++ b/internal/node/takeover.go
@@ -59,7 +59,7 @@
 	// spareConns of either process's connections to engines are left out while there are two: its listeners, log, poller
 	// and link come twice too.
 	spareConns = 16
-	// guardedSessions and guardedConns fit what every process leaves for a successor (starting), with what it takes to run.
+	// guardedSessions and guardedConns fit what every process leaves for a successor (validate.Starting), with what it takes to run.
 	guardedSessions = 12
 	guardedConns    = 12
 	passedEnv       = "PROXY_PASSED_SOCKET"
--- /dev/null
+++ b/internal/settings/overlay.go
@@ -0,0 +1,332 @@
+package settings
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"reflect"
+	"slices"
+	"strconv"
+	"strings"
+)
+
+// Value is the JSON text of an entry's value.
+type Value = json.RawMessage
+
+// EntryError is what is wrong with an entry: at its JSON pointer (RFC 6901).
+type EntryError struct{ Pointer, Reason string }
+
+func (e *EntryError) Error() string { return e.Pointer + ": " + e.Reason }
+
+// partiesAt is where the parties are put by their names.
+const partiesAt = "/settings/parties/"
+
+// own are the fields that belong to each router by itself, so that no entry may name them.
+var own = []string{"/name", "/listen", "/seed", "/limits", "/control", "/known", "/settings/me", "/settings/zone"}
+
+// Overlay gives a platform file with entries laid over it: JSON pointer (RFC 6901) to value. Without entries that is the
+// file itself, byte for byte. An error that is an entry's is an EntryError.
+//
+// An entry may name `/board` and what is below `/settings` and known to this program; what is each router's own may not be
+// named. The parties are named one by one, `/settings/parties/NAME`; with any such entry the list consists of these only, by
+// the order of their names. An item of another list is named by its number, and has to be there.
+func Overlay(platform []byte, entries map[string]Value) ([]byte, error) {
+	if len(entries) == 0 {
+		return platform, nil
+	}
+	if !json.Valid(platform) {
+		return nil, ErrNotJSON
+	}
+	parties := map[string]Value{}
+	doc := &tree{raw: platform}
+	for _, pointer := range slices.Sorted(maps.Keys(entries)) {
+		value := entries[pointer]
+		if err := CheckEntry(pointer, value); err != nil {
+			return nil, err
+		}
+		for i := range pointer {
+			if _, above := entries[pointer[:i]]; above && pointer[i] == '/' {
+				return nil, &EntryError{pointer, "is part of the entry " + pointer[:i]}
+			}
+		}
+		steps := stepsOf(pointer)
+		if strings.HasPrefix(pointer, partiesAt) {
+			parties[steps[2]] = value
+			continue
+		}
+		if err := doc.put(steps, value); err != nil {
+			return nil, &EntryError{pointer, err.Error()}
+		}
+	}
+	if len(parties) > 0 {
+		list, err := listOf(parties)
+		if err != nil {
+			return nil, err
+		}
+		if err := doc.put([]string{"settings", "parties"}, list); err != nil {
+			return nil, &EntryError{partiesAt + escape(slices.Sorted(maps.Keys(parties))[0]), err.Error()}
+		}
+	}
+	return json.Marshal(doc)
+}
+
+// CheckEntry tells whether an entry may be, whatever it is laid over: its pointer names a field that entries may set, and
+// its value is JSON of the field's type. The error is an EntryError.
+func CheckEntry(pointer string, value Value) error {
+	fault := func(form string, args ...any) error { return &EntryError{pointer, fmt.Sprintf(form, args...)} }
+	steps := stepsOf(pointer)
+	if len(steps) == 0 {
+		return fault("is no JSON pointer (RFC 6901) below the whole")
+	}
+	for _, s := range steps {
+		if s == "" {
+			return fault("has an empty name in it")
+		}
+	}
+	if escaped := "/" + strings.Join(escapeAll(steps), "/"); escaped != pointer {
+		return fault("is not how RFC 6901 escapes it: %s", escaped)
+	}
+	for _, o := range own {
+		if pointer == o || strings.HasPrefix(pointer, o+"/") {
+			return fault("is each router's own")
+		}
+	}
+	if !json.Valid(value) {
+		return fault("the value is not valid JSON")
+	}
+	if string(bytes.TrimSpace(value)) == "null" {
+		return fault("null is no value; an entry that is not wanted is removed")
+	}
+	if pointer == "/board" {
+		return fits(pointer, value, reflect.TypeFor[string]())
+	}
+	if steps[0] != "settings" || len(steps) < 2 {
+		return fault("is not for entries: these are /board and what is below /settings")
+	}
+	if steps[1] == "parties" {
+		if len(steps) != 3 {
+			return fault("parties are put one by one and whole, as %sNAME", partiesAt)
+		}
+		return checkParty(pointer, steps[2], value)
+	}
+	form := reflect.TypeFor[Settings]()
+	for i, s := range steps[1:] {
+		switch form.Kind() {
+		case reflect.Struct:
+			f, ok := fieldOf(form, s)
+			if !ok {
+				return fault("no field %s is known at /%s", s, strings.Join(escapeAll(steps[:i+1]), "/"))
+			}
+			form = f
+		case reflect.Slice:
+			if _, err := indexOf(s); err != nil {
+				return fault("%v", err)
+			}
+			form = form.Elem()
+		default:
+			return fault("/%s is a value of its own", strings.Join(escapeAll(steps[:i+1]), "/"))
+		}
+	}
+	return fits(pointer, value, form)
+}
+
+// fits tells whether a value can be read as a type, whole: what would not be heeded is not put in force either. The error is
+// an EntryError.
+func fits(pointer string, value Value, form reflect.Type) error {
+	d := json.NewDecoder(bytes.NewReader(value))
+	d.DisallowUnknownFields()
+	err := d.Decode(reflect.New(form).Interface())
+	var te *json.UnmarshalTypeError
+	switch {
+	case err == nil:
+		return nil
+	case errors.As(err, &te) && te.Field == "":
+		return &EntryError{pointer, fmt.Sprintf("a %s does not fit", te.Value)}
+	case errors.As(err, &te):
+		return &EntryError{pointer, fmt.Sprintf("field %s: a %s does not fit", te.Field, te.Value)}
+	}
+	return &EntryError{pointer, strings.TrimPrefix(err.Error(), "json: ")}
+}
+
+// checkParty tells whether a party may be put. The error is an EntryError.
+func checkParty(pointer, name string, value Value) error {
+	var p struct {
+		Name  *string  `json:"name"`
+		Quota *float64 `json:"quota-rps"`
+		Share *float64 `json:"share"`
+	}
+	if err := fits(pointer, value, reflect.TypeOf(p)); err != nil {
+		return err
+	}
+	fault := func(reason string) error { return &EntryError{pointer, reason} }
+	switch err := json.Unmarshal(value, &p); {
+	case err != nil:
+		return fault(err.Error())
+	case p.Name != nil && *p.Name != name:
+		return fault(fmt.Sprintf("field name: %q is not the name in the pointer", *p.Name))
+	case p.Quota == nil:
+		return fault("field quota-rps is missing")
+	case *p.Quota < 0:
+		return fault("field quota-rps: is below 0")
+	case p.Share != nil && *p.Share < 0:
+		return fault("field share: is below 0")
+	}
+	return nil
+}
+
+// listOf gives the list of parties, by name.
+func listOf(parties map[string]Value) (Value, error) {
+	var list []map[string]Value
+	for _, name := range slices.Sorted(maps.Keys(parties)) {
+		var p map[string]Value
+		if err := json.Unmarshal(parties[name], &p); err != nil {
+			return nil, &EntryError{partiesAt + escape(name), err.Error()}
+		}
+		text, err := json.Marshal(name)
+		if err != nil {
+			return nil, &EntryError{partiesAt + escape(name), err.Error()}
+		}
+		p["name"] = text
+		list = append(list, p)
+	}
+	return json.Marshal(list)
+}
+
+// fieldOf gives the type of the field that JSON calls by a name.
+func fieldOf(form reflect.Type, name string) (reflect.Type, bool) {
+	for f := range form.NumField() {
+		if tag, _, _ := strings.Cut(form.Field(f).Tag.Get("json"), ","); tag == name {
+			return form.Field(f).Type, true
+		}
+	}
+	return nil, false
+}
+
+// tree is a JSON document of which only what was put into is taken apart.
+type tree struct {
+	raw    Value // as long as it is whole
+	object map[string]*tree
+	list   []*tree
+}
+
+// open takes a place apart; objects are made where there is nothing.
+func (t *tree) open() error {
+	if t.object != nil || t.list != nil {
+		return nil
+	}
+	first := bytes.TrimSpace(t.raw)
+	switch {
+	case len(first) == 0 || string(first) == "null":
+		t.object = map[string]*tree{}
+	case first[0] == '{':
+		var fields map[string]Value
+		if err := json.Unmarshal(first, &fields); err != nil {
+			return err
+		}
+		t.object = make(map[string]*tree, len(fields))
+		for name, raw := range fields {
+			t.object[name] = &tree{raw: raw}
+		}
+	case first[0] == '[':
+		var items []Value
+		if err := json.Unmarshal(first, &items); err != nil {
+			return err
+		}
+		t.list = make([]*tree, len(items))
+		for i, raw := range items {
+			t.list[i] = &tree{raw: raw}
+		}
+	default:
+		return errors.New("is below a value that is no object")
+	}
+	return nil
+}
+
+// put sets the value at the place that the steps lead to.
+func (t *tree) put(steps []string, value Value) error {
+	for _, step := range steps {
+		if err := t.open(); err != nil {
+			return err
+		}
+		if t.object != nil {
+			name := t.keyOf(step)
+			if t.object[name] == nil {
+				t.object[name] = &tree{}
+			}
+			t = t.object[name]
+			continue
+		}
+		i, err := indexOf(step)
+		if err != nil {
+			return err
+		}
+		if i >= len(t.list) {
+			return fmt.Errorf("there is no item %d in a list of %d", i, len(t.list))
+		}
+		t = t.list[i]
+	}
+	*t = tree{raw: value}
+	return nil
+}
+
+// keyOf gives the key under which an object holds a field: Go's JSON takes another case for it too, where it is the only one.
+func (t *tree) keyOf(name string) string {
+	if t.object[name] != nil {
+		return name
+	}
+	for _, key := range slices.Sorted(maps.Keys(t.object)) {
+		if strings.EqualFold(key, name) {
+			return key
+		}
+	}
+	return name
+}
+
+// MarshalJSON implements json.Marshaler.
+func (t *tree) MarshalJSON() ([]byte, error) {
+	switch {
+	case t.object != nil:
+		return json.Marshal(t.object)
+	case t.list != nil:
+		return json.Marshal(t.list)
+	case len(t.raw) == 0:
+		return []byte("null"), nil
+	}
+	return t.raw, nil
+}
+
+// indexOf reads the number of an item.
+func indexOf(s string) (int, error) {
+	i, err := strconv.Atoi(s)
+	if err != nil || i < 0 || strconv.Itoa(i) != s {
+		return 0, fmt.Errorf("%q is not the number of an item", s)
+	}
+	return i, nil
+}
+
+// stepsOf gives the names on the way that a JSON pointer says; none where it is no pointer below the whole.
+func stepsOf(pointer string) []string {
+	rest, ok := strings.CutPrefix(pointer, "/")
+	if !ok {
+		return nil
+	}
+	steps := strings.Split(rest, "/")
+	for i, s := range steps {
+		steps[i] = strings.ReplaceAll(strings.ReplaceAll(s, "~1", "/"), "~0", "~")
+	}
+	return steps
+}
+
+func escape(name string) string {
+	return strings.ReplaceAll(strings.ReplaceAll(name, "~", "~0"), "/", "~1")
+}
+
+func escapeAll(names []string) []string {
+	all := make([]string, len(names))
+	for i, n := range names {
+		all[i] = escape(n)
+	}
+	return all
+}
--- /dev/null
+++ b/internal/settings/overlay_test.go
@@ -0,0 +1,162 @@
+package settings
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+)
+
+func example(t *testing.T) []byte {
+	t.Helper()
+	text, err := os.ReadFile("../../deploy/example.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+// Without entries a router has its own file as it is; with some, only what they name differs from it.
+func TestOverlayChangesWhatEntriesName(t *testing.T) {
+	own := example(t)
+	same, err := Overlay(own, nil)
+	if err != nil || string(same) != string(own) {
+		t.Fatalf("without entries the file changed: %v", err)
+	}
+	text, err := Overlay(own, map[string]Value{
+		"/board":                              Value(`"127.0.0.1:9"`),
+		"/settings/over-share-worth":          Value(`0.25`),
+		"/settings/rules/look-back-ns":        Value(`7`),
+		"/settings/classes/1/credit":          Value(`4`),
+		"/settings/specifics/cores-by-kind":   Value(`[16]`),
+		"/settings/parties/west~1two":         Value(`{"quota-rps":3,"share":0.5}`),
+		"/settings/parties/east":              Value(`{"quota-rps":2}`),
+		"/settings/limits/max-retry-after-ns": Value(`1000`),
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	var want, got map[string]any
+	if err := errors.Join(json.Unmarshal(own, &want), json.Unmarshal(text, &got)); err != nil {
+		t.Fatal(err)
+	}
+	s := want["settings"].(map[string]any)
+	want["board"], s["over-share-worth"] = "127.0.0.1:9", 0.25
+	s["rules"].(map[string]any)["look-back-ns"] = 7.0
+	s["classes"].([]any)[1].(map[string]any)["credit"] = 4.0
+	s["specifics"].(map[string]any)["cores-by-kind"] = []any{16.0}
+	s["limits"].(map[string]any)["max-retry-after-ns"] = 1000.0
+	s["parties"] = []any{map[string]any{"name": "east", "quota-rps": 2.0},
+		map[string]any{"name": "west/two", "quota-rps": 3.0, "share": 0.5}}
+	if diff := cmp.Diff(want, got); diff != "" {
+		t.Error(diff)
+	}
+	n, err := ParseNode(text)
+	if err != nil || n.Parsed.Parties[1].Name != "west/two" || n.Parsed.Parties[1].Quota != 3 {
+		t.Errorf("%+v, %v", n, err)
+	}
+}
+
+// A field that the file writes in another case is the same field, as it is when the file is read.
+func TestOverlayFindsAFieldInAnotherCase(t *testing.T) {
+	text, err := Overlay([]byte(`{"Board":"127.0.0.1:1","settings":{"Rules":{"cold-ns":4}}}`),
+		map[string]Value{"/board": Value(`"127.0.0.1:2"`), "/settings/rules/cold-from": Value(`0.5`)})
+	if want := `{"Board":"127.0.0.1:2","settings":{"Rules":{"cold-from":0.5,"cold-ns":4}}}`; err != nil || string(text) != want {
+		t.Errorf("%s, %v", text, err)
+	}
+}
+
+func TestOverlayNamesTheEntryAtFault(t *testing.T) {
+	own := example(t)
+	for _, k := range []struct{ pointer, value, want string }{
+		{"/name", `"x"`, "own"},
+		{"/listen", `"127.0.0.1:1"`, "own"},
+		{"/seed", `"1"`, "own"},
+		{"/limits/sockets", `9`, "own"},
+		{"/control", `"127.0.0.1:1"`, "own"},
+		{"/known", `{}`, "own"},
+		{"/settings/me", `3`, "own"},
+		{"/settings/zone", `"hall-b"`, "own"},
+		{"/settings", `{}`, "not for entries"},
+		{"/flightsql/listen", `"x"`, "not for entries"},
+		{"", `{}`, "no JSON pointer"},
+		{"board", `"127.0.0.1:1"`, "no JSON pointer"},
+		{"/settings//rules", `{}`, "empty name"},
+		{"/settings/rules~", `{}`, "escapes"},
+		{"/board", `7`, "a number does not fit"},
+		{"/board", `null`, "null"},
+		{"/board", `"x`, "not valid JSON"},
+		{"/settings/over-shar-worth", `1`, "no field over-shar-worth is known at /settings"},
+		{"/settings/rules/cold-from/x", `1`, "/settings/rules/cold-from is a value of its own"},
+		{"/settings/rules", `{"cold-form":1}`, "cold-form"},
+		{"/settings/rules", `{"cold-from":"x"}`, "field cold-from: a string does not fit"},
+		{"/settings/classes/-/credit", `1`, "not the number of an item"},
+		{"/settings/classes/01/credit", `1`, "not the number of an item"},
+		{"/settings/classes/9/credit", `1`, "no item 9 in a list of 3"},
+		{"/settings/parties", `[]`, "one by one"},
+		{"/settings/parties/a/quota-rps", `1`, "one by one"},
+		{"/settings/parties/a", `{}`, "quota-rps is missing"},
+		{"/settings/parties/a", `{"quota-rps":-1}`, "quota-rps: is below 0"},
+		{"/settings/parties/a", `{"quota-rps":1,"share":-1}`, "share: is below 0"},
+		{"/settings/parties/a", `{"quota-rps":1,"name":"b"}`, `"b" is not the name`},
+		{"/settings/parties/a", `{"quota-rps":1,"worth":2}`, "worth"},
+		{"/settings/parties/a", `{"quota-rps":"x"}`, "field quota-rps: a string does not fit"},
+	} {
+		_, err := Overlay(own, map[string]Value{"/settings/over-share-worth": Value(`0.5`), k.pointer: Value(k.value)})
+		var e *EntryError
+		if !errors.As(err, &e) || e.Pointer != k.pointer || !strings.Contains(e.Reason, k.want) ||
+			strings.Contains(e.Reason, "\n") {
+			t.Errorf("%s %s: %v, want %q", k.pointer, k.value, err, k.want)
+		}
+	}
+	_, err := Overlay(own, map[string]Value{"/settings/rules": Value(`{}`), "/settings/rules/cold-ns": Value(`1`)})
+	if err == nil || !strings.Contains(err.Error(), "part of the entry /settings/rules") {
+		t.Errorf("one entry in another: %v", err)
+	}
+	if _, err := Overlay([]byte(`{"settings":`), map[string]Value{"/board": Value(`"a:1"`)}); !errors.Is(err, ErrNotJSON) {
+		t.Errorf("a file that is no JSON: %v", err)
+	}
+}
+
+// Each field of the example can be put, but for what is a router's own: a field that the program reads and entries don't
+// know would be one that can't be changed.
+func TestEachFieldOfTheExampleCanBePut(t *testing.T) {
+	var doc any
+	if err := json.Unmarshal(example(t), &doc); err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	var look func(pointer string, v any)
+	look = func(pointer string, v any) {
+		if object, ok := v.(map[string]any); ok {
+			for name, below := range object {
+				look(pointer+"/"+escape(name), below)
+			}
+		}
+		if list, ok := v.([]any); ok && pointer != "/settings/parties" {
+			for i, below := range list {
+				look(pointer+"/"+strconv.Itoa(i), below)
+			}
+		}
+		ofOthers := pointer == "" || pointer == "/settings" || pointer == "/settings/parties"
+		for _, o := range own {
+			ofOthers = ofOthers || pointer == o || strings.HasPrefix(pointer, o+"/")
+		}
+		if ofOthers {
+			return
+		}
+		n++
+		text, _ := json.Marshal(v)
+		if err := CheckEntry(pointer, text); err != nil {
+			t.Error(err)
+		}
+	}
+	look("", doc)
+	if n < 60 {
+		t.Errorf("%d fields", n)
+	}
+}
--- /dev/null
+++ b/internal/validate/validate.go
@@ -0,0 +1,129 @@
+// Package validate tells what of a configuration can't be used, without any of what it would be used for: the router at its
+// start, `windflow config check` and the keepers of the configuration all ask it, so that they can't differ. It opens
+// nothing and links neither the network nor a front.
+package validate
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"sort"
+	"strings"
+
+	"windflow/internal/settings"
+)
+
+// Platform reads a configuration of the platform's as a router would, and tells what can't be used: one line that names the
+// field.
+func Platform(text []byte) error {
+	cfg, err := settings.ParseNode(text)
+	if err != nil {
+		return err
+	}
+	if _, _, err := settings.ParseKnown(cfg.Known); err != nil {
+		return fmt.Errorf("field known: %w", err)
+	}
+	return usable(cfg)
+}
+
+// usable tells what the module, or the division of the descriptors, can't use.
+func usable(cfg *settings.Node) error {
+	d, err := Decisions(cfg, cfg.SeedValue)
+	if err == nil {
+		err = d.Check()
+	}
+	if err != nil {
+		return fmt.Errorf("field settings: %w", err)
+	}
+	_, err = BoundsOf(cfg, 0)
+	return err
+}
+
+// Fault is an entry that can't be in force.
+type Fault struct {
+	Pointer string // of the entry at fault; empty where the base is at fault by itself
+	Reason  string
+}
+
+func (f *Fault) Error() string {
+	if f.Pointer == "" {
+		return "the base configuration: " + f.Reason
+	}
+	return f.Pointer + ": " + f.Reason
+}
+
+// Entries tells what is wrong with entries laid over a base configuration, the platform file of a router; nil where a router
+// could use them. The entry at fault is that of the field which the check names; where it names none of them, the first, in
+// the order of their pointers, from which on the configuration can't be used: the same for the same entries, whoever asks.
+func Entries(base []byte, entries map[string]settings.Value) *Fault {
+	_, f := Overlaid(base, entries)
+	return f
+}
+
+// Overlaid is Entries, and gives the configuration that it looked at.
+func Overlaid(base []byte, entries map[string]settings.Value) (*settings.Node, *Fault) {
+	text, err := settings.Overlay(base, entries)
+	if err != nil {
+		if e, ok := err.(*settings.EntryError); ok {
+			return nil, &Fault{Pointer: e.Pointer, Reason: e.Reason}
+		}
+		return nil, &Fault{Reason: err.Error()}
+	}
+	cfg, err := settings.ParseNode(text)
+	if err == nil {
+		err = usable(cfg)
+	}
+	if err == nil {
+		return cfg, nil
+	}
+	pointer := named(err.Error(), entries)
+	if pointer == "" {
+		pointer = culprit(base, entries)
+	}
+	return nil, &Fault{Pointer: pointer, Reason: err.Error()}
+}
+
+// named gives the pointer of the entry that holds the field which a reason begins with, or lies in it; empty for none:
+// "field settings: classes[2].name: ..." is /settings/classes/2/name.
+func named(reason string, entries map[string]settings.Value) string {
+	field, ok := strings.CutPrefix(reason, "field ")
+	if !ok {
+		return ""
+	}
+	if below, ok := strings.CutPrefix(field, "settings: "); ok {
+		field = "settings." + strings.TrimPrefix(below, "field ")
+	}
+	field, _, _ = strings.Cut(field, ":")
+	field, _, _ = strings.Cut(field, " ")
+	at := "/" + strings.NewReplacer(".", "/", "[", "/", "]", "").Replace(field)
+	for _, p := range slices.Sorted(maps.Keys(entries)) {
+		if p == at || strings.HasPrefix(p, at+"/") || strings.HasPrefix(at, p+"/") {
+			return p
+		}
+	}
+	return ""
+}
+
+// culprit gives the pointer of the entry at fault, of entries that can be laid over the base but not used then: the first
+// in their order with which, and with those before it, the configuration can't be used. Empty where the base can't either.
+func culprit(base []byte, entries map[string]settings.Value) string {
+	order := slices.Sorted(maps.Keys(entries))
+	bad := func(n int) bool {
+		some := make(map[string]settings.Value, n)
+		for _, p := range order[:n] {
+			some[p] = entries[p]
+		}
+		text, err := settings.Overlay(base, some)
+		if err != nil {
+			return true
+		}
+		cfg, err := settings.ParseNode(text)
+		return err != nil || usable(cfg) != nil
+	}
+	if bad(0) {
+		// The entries may mend a base that can't be used by itself, so that only all of them together say.
+		return ""
+	}
+	n := sort.Search(len(order), bad)
+	return order[min(max(n, 1), len(order))-1]
+}
--- /dev/null
+++ b/internal/validate/validate_test.go
@@ -0,0 +1,131 @@
+package validate
+
+import (
+	"os"
+	"os/exec"
+	"strings"
+	"testing"
+
+	"windflow/internal/settings"
+)
+
+func example(t *testing.T) string {
+	t.Helper()
+	text, err := os.ReadFile("../../deploy/example.json")
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(text)
+}
+
+// What the router could not start with is named, as it would name it.
+func TestPlatformNamesTheField(t *testing.T) {
+	good := example(t)
+	for _, k := range []struct{ from, to, want string }{
+		{`"phase": "active"`, `"phase": "active"`, ""},
+		{`"phase": "active"`, `"phase": "resting"`, "field known: notices[0].pool.members[0].phase"},
+		{`"listen": "127.0.0.1:13306"`, `"listen": "here"`, "field listen"},
+		{`"sockets": 1024`, `"sockets": 32`, "field limits.sockets: 32 leaves no connections"},
+		{`"cold-from": 0.36`, `"cold-from": -1`, "field settings: rules.cold-from"},
+		{`"name": "report"`, `"name": "lookup"`, `field settings: classes[1].name: "lookup"`},
+		{`"settings"`, `"other"`, "field settings is missing"},
+		{`{`, `[`, "not valid JSON"},
+	} {
+		err := Platform([]byte(strings.Replace(good, k.from, k.to, 1)))
+		if (err == nil) != (k.want == "") || err != nil && (!strings.HasPrefix(err.Error(), k.want) || strings.Contains(err.Error(), "\n")) {
+			t.Errorf("%s: %v, want %q", k.to, err, k.want)
+		}
+	}
+}
+
+// The fault carries the pointer of the entry that is to blame, among others that are right.
+func TestEntriesNameTheEntryAtFault(t *testing.T) {
+	good := map[string]settings.Value{"/board": settings.Value(`"127.0.0.1:9"`), "/settings/rules/cold-ns": settings.Value(`5`),
+		"/settings/parties/a": settings.Value(`{"quota-rps":1}`)}
+	if f := Entries([]byte(example(t)), good); f != nil {
+		t.Fatal(f)
+	}
+	for _, k := range []struct{ pointer, value, reason string }{
+		{"/settings/rules/cold-from", `-0.5`, "rules.cold-from: -0.5 is below 0"},
+		{"/board", `"nowhere"`, "field board"},
+		{"/settings/over-share-worth", `"x"`, "a string does not fit"},
+		{"/settings/specifics/width-by-class", `[1]`, "has 1 values for 3 entries"},
+		{"/settings/classes/2/goal-time-ns", `0`, "classes[2]"},
+		{"/settings/classes/2/name", `"lookup"`, "used twice"},
+		{"/listen", `"127.0.0.1:1"`, "own"},
+		{"/settings/specifics/overbooked", `"maybe"`, "unknown value"},
+		{"/settings/classes", `[]`, ""},
+	} {
+		entries := map[string]settings.Value{k.pointer: settings.Value(k.value)}
+		for p, v := range good {
+			if p != k.pointer {
+				entries[p] = v
+			}
+		}
+		f := Entries([]byte(example(t)), entries)
+		if f == nil || f.Pointer != k.pointer || !strings.Contains(f.Reason, k.reason) {
+			t.Errorf("%s: %+v, want %q", k.pointer, f, k.reason)
+		}
+	}
+}
+
+// Entries that are wrong only together: the one is named that the check speaks of, though an earlier one alone is wrong too.
+func TestEntriesWrongTogether(t *testing.T) {
+	entries := map[string]settings.Value{"/settings/kinds": settings.Value(`["std-8","std-16"]`),
+		"/settings/specifics/cores-by-kind":  settings.Value(`[8,16]`),
+		"/settings/specifics/kind-memory-mb": settings.Value(`[1,2,3]`),
+		"/settings/specifics/note-period-ns": settings.Value(`5`)}
+	f := Entries([]byte(example(t)), entries)
+	if f == nil || f.Pointer != "/settings/specifics/kind-memory-mb" {
+		t.Fatalf("%+v", f)
+	}
+	entries["/settings/specifics/kind-memory-mb"] = settings.Value(`[1,2]`)
+	if f := Entries([]byte(example(t)), entries); f != nil {
+		t.Error(f)
+	}
+}
+
+func TestEntriesOverABadBase(t *testing.T) {
+	bad := strings.Replace(example(t), `"cold-from": 0.36`, `"cold-from": -1`, 1)
+	f := Entries([]byte(bad), map[string]settings.Value{"/settings/over-share-worth": settings.Value(`0.5`)})
+	if f == nil || f.Pointer != "" || !strings.Contains(f.Error(), "base configuration: field settings: rules.cold-from") {
+		t.Errorf("%+v", f)
+	}
+	// Entries may mend it.
+	if f := Entries([]byte(bad), map[string]settings.Value{"/settings/rules/cold-from": settings.Value(`0.5`)}); f != nil {
+		t.Error(f)
+	}
+}
+
+// What operators are told of limits.sockets: docs/operating.md.
+func TestSessionsOfSockets(t *testing.T) {
+	for _, k := range []struct{ sockets, sessions int }{{0, 409}, {1024, 409}, {4999, 1999}, {5000, 2000}, {8192, 3276}} {
+		cfg := &settings.Node{}
+		cfg.Limits.Sockets = k.sockets
+		if b, err := BoundsOf(cfg, 0); err != nil || b.Sessions != k.sessions {
+			t.Errorf("%d descriptors: %d sessions, %v; want %d", k.sockets, b.Sessions, err, k.sessions)
+		}
+	}
+}
+
+// The check links no part of the router that it checks for: a keeper would carry all of it.
+func TestLinksNoNetwork(t *testing.T) {
+	out, err := exec.Command("go", "list", "-deps", ".").Output()
+	if err != nil {
+		t.Fatal(err)
+	}
+	deps := strings.Fields(string(out))
+	if len(deps) < 5 {
+		t.Fatal(deps)
+	}
+	for _, d := range deps {
+		for _, no := range []string{"mysql", "fetch", "netio", "router", "node", "flightsql", "board"} {
+			if d == "windflow/internal/"+no {
+				t.Error("links", d)
+			}
+		}
+		if d == "net" || d == "net/http" {
+			t.Error("links", d)
+		}
+	}
+}
