Follow the keepers of the configuration, and bring their revisions in force by the reload path

New package internal/follow: a long poll to one keeper at a time in goroutines of its own, whose next call is the ACK or NACK of what the last one brought; decisions are those of internal/decide/rollout. Answers are bounded to 8 MiB, calls to the hold and 2 s, changes to two at once and one each 500 ms after that.

Section keepers of the installation's settings turns it on; off without it. At the start the copy and a keeper that answers within 800 ms are in force before the router is built. A revision and a SIGHUP are prepared beside the loop and made in it, and prepared anew where the other one was faster. In an upgrade the state carries the revision in force, and each process tells the other of later ones, before the go-ahead.

--- /dev/null
+++ b/internal/follow/follow.go
@@ -0,0 +1,349 @@
+// Package follow is the router's side of the keepers: it asks one of them in a long poll what is new of the configuration by
+// revision, has the router bring it in force, says with the next call what became of it, and keeps the last good revision on
+// disk for a start at which no keeper answers. It runs in goroutines of its own; the router's loop waits for none of it.
+// What to take and whom to ask is decided by package rollout.
+package follow
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"windflow/internal/decide/rollout"
+)
+
+// Config is the section of the settings.
+type Config struct {
+	Addresses []string `json:"addresses"` // of the keepers, as address:port
+	Dir       string   `json:"dir"`       // of the copy
+	HoldMS    int      `json:"hold_ms"`   // how long a keeper may keep a call open while nothing is new
+}
+
+const (
+	// DefaultHoldMS is a third of the keepers' usual lease.
+	DefaultHoldMS = 2000
+	// answerWithin is how long past the hold a keeper has to answer, in all.
+	answerWithin = 2 * time.Second
+	// bringEvery bounds how often a call may bring a change, in a burst of them: reloads and their bytes stay within it. Two
+	// are free, so that the word on a change that came alone goes back at once.
+	bringEvery = 500 * time.Millisecond
+	// earlyPause is waited after an answer that nothing is new which came without any wait.
+	earlyPause = 200 * time.Millisecond
+	// stopWithin bounds the wait for the goroutines at the end; a disk may hang.
+	stopWithin = 200 * time.Millisecond
+)
+
+// ErrLater says that the router has a later revision in force than the one that was to be: its other process gave it.
+var ErrLater = errors.New("a later revision is in force")
+
+// ErrEnding says that the router ends: nothing is said of the revision then.
+var ErrEnding = errors.New("the router ends")
+
+// Refusal is why a revision can't be in force, with the JSON pointer of the entry at fault, empty where it is none of them.
+type Refusal struct{ Pointer, Reason string }
+
+func (r *Refusal) Error() string {
+	if r.Pointer == "" {
+		return r.Reason
+	}
+	return r.Pointer + ": " + r.Reason
+}
+
+// Revision is the content of a revision. The entries may not be written to.
+type Revision struct {
+	Revision uint64                     `json:"revision"`
+	Hash     rollout.Hash               `json:"hash"`
+	Entries  map[string]json.RawMessage `json:"entries"`
+}
+
+// Apply brings a revision in force, whole or not at all; a Refusal is then said to the keepers.
+type Apply func(Revision) error
+
+// Counters count what happened; the last two are figures that stand.
+type Counters struct {
+	Polls, Changes, Refused, Lost, Unfit, DiskFailed, SetAside atomic.Int64
+
+	Revision atomic.Int64 // in force
+	Barred   atomic.Int64 // the latest that was refused and is not overtaken; 0 for none
+}
+
+// Client follows the keepers.
+type Client struct {
+	Counters Counters
+
+	log    *slog.Logger
+	disk   *disk
+	poller *poller
+	state  *rollout.Follower // of the goroutine that runs, and of the starter before
+	apply  Apply
+	began  time.Time
+	lost   bool // the last call was
+
+	mu      sync.Mutex // over what follows
+	cfg     Config
+	given   *Revision // by the other process of this router, not taken yet
+	again   bool      // what was refused may fit now
+	cut     func()    // ends the call that is open
+	latest  Revision
+	tokens  float64 // changes that may come now; of the goroutine that runs
+	tokenAt time.Time
+
+	stop    context.CancelFunc
+	stopped context.Context
+	done    sync.WaitGroup
+}
+
+// New gives a client that does nothing yet. The name is the router's, the instance this process's; see rollout.Instance.
+func New(cfg Config, name, instance string, log *slog.Logger) *Client {
+	c := &Client{cfg: cfg, log: log, state: rollout.NewFollower(name, instance), began: time.Now(), tokens: 2, tokenAt: time.Now()}
+	c.stopped, c.stop = context.WithCancel(context.Background())
+	c.disk = newDisk(cfg.Dir, name, &c.Counters, log)
+	c.poller = newPoller(name)
+	return c
+}
+
+// Configure has other keepers asked from the next call on. The folder stays what it was.
+func (c *Client) Configure(cfg Config) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cfg = cfg
+	c.interrupt()
+}
+
+// Retry has what was refused offered again: the router's own file is another one.
+func (c *Client) Retry() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.again = true
+	c.interrupt()
+}
+
+// Give tells of a revision that is in force here already: the other process of this router had it.
+func (c *Client) Give(s Revision) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.given = &s
+	c.interrupt()
+}
+
+// interrupt ends the call that is open, so that the next one says what is new here. The lock is held.
+func (c *Client) interrupt() {
+	if c.cut != nil {
+		c.cut()
+	}
+}
+
+// Latest is the last revision that was in force, 0 where that is the router's own file alone.
+func (c *Client) Latest() Revision {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.latest
+}
+
+// Restore brings a revision in force at the start: the copy on the disk, and on top of it what a keeper that answers within
+// the time has. Each keeper is asked once. It is called before Start.
+func (c *Client) Restore(within time.Duration, apply Apply) {
+	ctx, cancel := context.WithTimeout(c.stopped, within)
+	defer cancel()
+	c.apply = apply
+	if s, ok := c.disk.read(); ok {
+		if entries, ok, err := c.state.Restore(s); ok {
+			c.settle(Revision{s.Revision, s.Hash, entries})
+		} else if err != nil {
+			c.disk.setAside(err)
+		}
+	}
+	cfg := c.config()
+	n := len(cfg.Addresses)
+	for range n {
+		if ctx.Err() != nil {
+			break
+		}
+		each, done := context.WithTimeout(ctx, within/time.Duration(min(n, 2)))
+		u, _, err := c.poller.ask(each, cfg.Addresses[c.state.Keeper(n)], c.state.Ask(), 0)
+		done()
+		if err == nil && c.take(u) == nil {
+			return
+		}
+		pause(ctx, time.Duration(c.state.Lost(c.now(), 0)*1e6)) // none before each was asked
+	}
+	c.log.Warn("no keeper answered at the start", "revision", c.state.Ask().Revision)
+}
+
+// Start follows the keepers from now on.
+func (c *Client) Start(apply Apply) {
+	c.apply = apply
+	c.done.Add(2)
+	go func() {
+		defer c.done.Done()
+		c.disk.run(c.stopped)
+	}()
+	go func() {
+		defer c.done.Done()
+		c.run()
+	}()
+}
+
+// Stop ends the client. It waits for a disk that hangs for a moment only.
+func (c *Client) Stop() {
+	c.stop()
+	ended := make(chan struct{})
+	go func() {
+		c.done.Wait()
+		c.poller.close()
+		close(ended)
+	}()
+	select {
+	case <-ended:
+	case <-time.After(stopWithin):
+	}
+}
+
+func (c *Client) config() Config {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.cfg
+}
+
+func (c *Client) now() float64 { return float64(time.Since(c.began)) / 1e6 }
+
+func (c *Client) run() {
+	for c.stopped.Err() == nil {
+		ctx, cancel := context.WithCancel(c.stopped)
+		cfg, given, again := c.begin(cancel)
+		if again {
+			c.state.Retry()
+			c.Counters.Barred.Store(0)
+		}
+		if given != nil {
+			u := rollout.Update{To: given.Revision, Snapshot: true, Put: given.Entries, Hash: given.Hash}
+			if err := c.take(u); err != nil && !errors.Is(err, rollout.ErrStale) {
+				c.log.Warn("what the other process has can't be taken", "err", err)
+			}
+		}
+		c.poll(ctx, cfg)
+		cancel()
+	}
+}
+
+// begin takes what others have left for the next call, which they may cut short from now on.
+func (c *Client) begin(cut func()) (cfg Config, given *Revision, again bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = cut
+	given, again, c.given, c.again = c.given, c.again, nil, false
+	return c.cfg, given, again
+}
+
+// poll makes one call and takes what it brings, or waits after a loss.
+func (c *Client) poll(ctx context.Context, cfg Config) {
+	hold := time.Duration(cfg.HoldMS) * time.Millisecond
+	addr := cfg.Addresses[c.state.Keeper(len(cfg.Addresses))]
+	c.Counters.Polls.Add(1)
+	at := time.Now()
+	call, done := context.WithTimeout(ctx, hold+answerWithin)
+	u, fresh, err := c.poller.ask(call, addr, c.state.Ask(), cfg.HoldMS)
+	done()
+	if ctx.Err() != nil {
+		return // cut short from here: no loss of the keeper's
+	}
+	if err == nil && c.lost {
+		c.lost = false
+		c.log.Info("a keeper answers", "keeper", addr)
+	}
+	if err == nil && !fresh {
+		c.state.Unchanged()
+		if time.Since(at) < hold/2 {
+			pause(ctx, time.Duration((0.5+rand.Float64())*float64(earlyPause)))
+		}
+		return
+	}
+	if err == nil {
+		if err = c.take(u); err == nil {
+			c.spend(ctx)
+			return
+		}
+		c.Counters.Unfit.Add(1)
+	}
+	c.Counters.Lost.Add(1)
+	wait := c.state.Lost(c.now(), rand.Float64())
+	level := slog.LevelDebug
+	if !c.lost { // the first is said; the next good answer is
+		level = slog.LevelWarn
+	}
+	c.lost = true
+	c.log.Log(ctx, level, "keeper lost", "keeper", addr, "err", err, "wait_ms", int(wait))
+	if theirs, ahead := c.state.Ahead(); ahead {
+		c.log.Log(ctx, level, "all keepers are behind this router, which keeps its revision", "revision", c.state.Ask().Revision,
+			"theirs", theirs)
+	}
+	pause(ctx, time.Duration(wait*1e6))
+}
+
+// spend waits until another change may come.
+func (c *Client) spend(ctx context.Context) {
+	now := time.Now()
+	c.tokens = min(2, c.tokens+float64(now.Sub(c.tokenAt))/float64(bringEvery)) - 1
+	c.tokenAt = now
+	if c.tokens < 1 {
+		pause(ctx, time.Duration((1-c.tokens)*float64(bringEvery)))
+	}
+}
+
+// take goes by a keeper's answer.
+func (c *Client) take(u rollout.Update) error {
+	entries, ok, err := c.state.Offer(u)
+	if ok {
+		c.settle(Revision{u.To, u.Hash, entries})
+	}
+	return err
+}
+
+// settle brings the candidate in force, or refuses it.
+func (c *Client) settle(s Revision) {
+	err := c.apply(s)
+	if err == nil {
+		c.state.Accept()
+		c.mu.Lock()
+		c.latest = s
+		c.mu.Unlock()
+		c.Counters.Changes.Add(1)
+		c.Counters.Revision.Store(int64(s.Revision))
+		if uint64(c.Counters.Barred.Load()) <= s.Revision {
+			c.Counters.Barred.Store(0)
+		}
+		c.disk.save(c.state.Saved())
+		return
+	}
+	if errors.Is(err, ErrEnding) {
+		c.stop()
+		return
+	}
+	var r *Refusal
+	if !errors.As(err, &r) {
+		r = &Refusal{Reason: err.Error()}
+	}
+	c.state.Refuse(r.Pointer, r.Reason)
+	if errors.Is(err, ErrLater) {
+		return
+	}
+	c.Counters.Refused.Add(1)
+	c.Counters.Barred.Store(int64(s.Revision))
+	c.log.Error("configuration refused; the one before stays in force", "revision", s.Revision, "pointer", r.Pointer, "err", r.Reason,
+		"in_force", c.state.Ask().Revision)
+}
+
+// pause waits, but not past the end of what it waits for.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/follow/follow_test.go
@@ -0,0 +1,386 @@
+package follow
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"windflow/internal/decide/rollout"
+	"windflow/internal/follow/keepertest"
+)
+
+// router is a stand-in for what brings revisions in force.
+type router struct {
+	mu     sync.Mutex
+	put    []Revision
+	refuse map[uint64]*Refusal
+	came   chan uint64
+}
+
+func newRouter() *router {
+	return &router{refuse: map[uint64]*Refusal{}, came: make(chan uint64, 4096)}
+}
+
+func (r *router) apply(rev Revision) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if bad := r.refuse[rev.Revision]; bad != nil {
+		return bad
+	}
+	if n := len(r.put); n > 0 && r.put[n-1].Revision > rev.Revision {
+		return ErrLater
+	}
+	r.put = append(r.put, rev)
+	r.came <- rev.Revision
+	return nil
+}
+
+func (r *router) until(t *testing.T, revision uint64) {
+	t.Helper()
+	late := time.After(30 * time.Second)
+	for {
+		select {
+		case n := <-r.came:
+			if n == revision {
+				return
+			}
+		case <-late:
+			t.Fatalf("revision %d never came", revision)
+		}
+	}
+}
+
+func (r *router) latest() Revision {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if len(r.put) == 0 {
+		return Revision{}
+	}
+	return r.put[len(r.put)-1]
+}
+
+var discard = slog.New(slog.DiscardHandler)
+
+func client(t *testing.T, dir string, keepers ...string) *Client {
+	t.Helper()
+	c := New(Config{Addresses: keepers, Dir: dir, HoldMS: 2000}, "n/0", rollout.Instance(1, 1), discard)
+	t.Cleanup(c.Stop)
+	return c
+}
+
+func worth(v string) map[string]string { return map[string]string{"/settings/over-share-worth": v} }
+
+// The next call after a change says what became of it: in force, or refused with the pointer, while the one before stays.
+func TestNextCallSaysWhatBecameOfIt(t *testing.T) {
+	k, r := keepertest.New(t), newRouter()
+	first := k.Change(worth("0.1"))
+	c := client(t, t.TempDir(), k.Addr())
+	c.Restore(time.Second, r.apply)
+	if r.latest().Revision != first {
+		t.Fatalf("at the start revision %d is in force", r.latest().Revision)
+	}
+	r.refuse[first+1] = &Refusal{Pointer: "/settings/over-share-worth", Reason: "too much"}
+	c.Start(r.apply)
+	k.Change(worth("9"))
+	said := k.Until("it refuses", func(r rollout.Report) bool { return r.Refused != nil })
+	if said.Revision != first || said.Refused.Revision != first+1 || said.Refused.Pointer != "/settings/over-share-worth" ||
+		said.Refused.Reason != "too much" {
+		t.Errorf("%+v, %+v", said, said.Refused)
+	}
+	if c.Counters.Revision.Load() != int64(first) || c.Counters.Barred.Load() != int64(first+1) || c.Latest().Revision != first {
+		t.Errorf("in force %d, refused %d", c.Counters.Revision.Load(), c.Counters.Barred.Load())
+	}
+	third := k.Change(worth("0.3"))
+	said = k.UntilAt(third)
+	if said.Refused != nil || c.Counters.Barred.Load() != 0 {
+		t.Errorf("after a good one: %+v", said.Refused)
+	}
+	if got := string(r.latest().Entries["/settings/over-share-worth"]); got != "0.3" {
+		t.Error(got)
+	}
+}
+
+// What was refused is offered again when the router's own file is another one.
+func TestRetry(t *testing.T) {
+	k, r := keepertest.New(t), newRouter()
+	r.refuse[1] = &Refusal{Reason: "not yet"}
+	c := client(t, t.TempDir(), k.Addr())
+	c.Start(r.apply)
+	k.Change(worth("1"))
+	k.Until("it refuses", func(r rollout.Report) bool { return r.Refused != nil })
+	r.mu.Lock()
+	delete(r.refuse, 1)
+	r.mu.Unlock()
+	c.Retry()
+	k.UntilAt(1)
+}
+
+// Keepers that misbehave: nothing that they say is in force, and the router goes on at the other one.
+func TestKeepersThatMisbehave(t *testing.T) {
+	const pointer = "/settings/over-share-worth"
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	for _, bad := range []struct {
+		name string
+		h    http.HandlerFunc
+	}{
+		{"silent", func(_ http.ResponseWriter, r *http.Request) {
+			select {
+			case <-r.Context().Done():
+			case <-stop:
+			}
+		}},
+		{"cut in the middle", func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Content-Length", "4000")
+			_, _ = io.WriteString(w, `{"from":0,"to":5,"snapshot":true,"put":{"`)
+			panic(http.ErrAbortHandler)
+		}},
+		{"garbage", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "\x00\xff<html>") }},
+		{"wrong hash", func(w http.ResponseWriter, _ *http.Request) {
+			_ = json.NewEncoder(w).Encode(rollout.Update{To: 5, Snapshot: true, Put: map[string]json.RawMessage{pointer: json.RawMessage("7")}})
+		}},
+		{"behind", func(w http.ResponseWriter, _ *http.Request) {
+			_ = json.NewEncoder(w).Encode(rollout.Update{To: 0, Behind: true})
+		}},
+		{"a delta from elsewhere", func(w http.ResponseWriter, _ *http.Request) {
+			_ = json.NewEncoder(w).Encode(rollout.Update{From: 4, To: 5, Put: map[string]json.RawMessage{pointer: json.RawMessage("7")}})
+		}},
+		{"huge", func(w http.ResponseWriter, _ *http.Request) {
+			part := strings.Repeat("x", 1<<16)
+			for range mostAnswer>>16 + 4 {
+				if _, err := io.WriteString(w, part); err != nil {
+					return
+				}
+			}
+		}},
+		{"a huge head", func(w http.ResponseWriter, _ *http.Request) { w.Header().Set("X", strings.Repeat("x", mostHeader<<3)) }},
+		{"busy", func(w http.ResponseWriter, _ *http.Request) { http.Error(w, "busy", http.StatusServiceUnavailable) }},
+		{"sent elsewhere", func(w http.ResponseWriter, r *http.Request) {
+			http.Redirect(w, r, "http://127.0.0.1:1/", http.StatusFound)
+		}},
+	} {
+		t.Run(bad.name, func(t *testing.T) {
+			t.Parallel()
+			wrong, good, r := keepertest.New(t), keepertest.New(t), newRouter()
+			met := make(chan struct{}, 1024)
+			wrong.Instead(func(w http.ResponseWriter, r *http.Request) {
+				met <- struct{}{}
+				bad.h(w, r)
+			})
+			c := New(Config{Addresses: []string{wrong.Addr()}, Dir: t.TempDir(), HoldMS: 100}, "n0", rollout.Instance(1, 1), discard)
+			t.Cleanup(c.Stop)
+			c.Start(r.apply)
+			<-met // it was asked, whatever it answers
+			<-met // and once more
+			if r.latest().Revision != 0 {
+				t.Errorf("revision %d is in force", r.latest().Revision)
+			}
+			rev := good.Change(worth("0.5"))
+			c.Configure(Config{Addresses: []string{wrong.Addr(), good.Addr()}, HoldMS: 100})
+			good.UntilAt(rev)
+			if got := r.latest(); string(got.Entries[pointer]) != "0.5" || c.Counters.Lost.Load() == 0 {
+				t.Errorf("%+v, lost %d", got, c.Counters.Lost.Load())
+			}
+		})
+	}
+}
+
+// A keeper that is behind never takes a router back.
+func TestNeverBack(t *testing.T) {
+	ahead, late, r := keepertest.New(t), keepertest.New(t), newRouter()
+	for i := range 3 {
+		ahead.Change(worth(fmt.Sprint(i)))
+	}
+	late.Change(worth("0.9"))
+	c := client(t, t.TempDir(), ahead.Addr())
+	c.Start(r.apply)
+	ahead.UntilAt(3)
+	c.Configure(Config{Addresses: []string{late.Addr()}, HoldMS: 100})
+	late.UntilAt(3)
+	late.UntilAt(3) // once more, after what it was told
+	if r.latest().Revision != 3 {
+		t.Errorf("revision %d", r.latest().Revision)
+	}
+}
+
+// In a burst of changes a call brings several of them, so that reloads stay bounded; the last one arrives.
+func TestBurst(t *testing.T) {
+	k, r := keepertest.New(t), newRouter()
+	c := client(t, t.TempDir(), k.Addr())
+	c.Start(r.apply)
+	k.UntilAt(0)
+	began := time.Now()
+	var last uint64
+	for i := range 300 {
+		last = k.Change(worth(fmt.Sprint(i)))
+	}
+	k.UntilAt(last)
+	most := 3 + int64(time.Since(began)/bringEvery)
+	if n := c.Counters.Changes.Load(); n > most {
+		t.Errorf("%d calls brought changes, %d at most may", n, most)
+	}
+}
+
+// The other process of this router has a later revision in force: it is not asked for again, and the keepers hear of it.
+func TestGiven(t *testing.T) {
+	k, r := keepertest.New(t), newRouter()
+	c := client(t, t.TempDir(), k.Addr())
+	c.Start(r.apply)
+	k.UntilAt(0)
+	entries := map[string]json.RawMessage{"/settings/over-share-worth": json.RawMessage("4")}
+	c.Give(Revision{7, rollout.HashOf(entries), entries})
+	k.UntilAt(7)
+	c.Give(Revision{5, rollout.Hash{}, nil}) // older: left
+	r.until(t, 7)
+	if c.Latest().Revision != 7 {
+		t.Error(c.Latest().Revision)
+	}
+}
+
+func file(dir string) string { return filepath.Join(dir, "n%2F0.revision") }
+
+// saved follows a keeper up to its revision and gives the folder with the copy.
+func saved(t *testing.T, k *keepertest.Keeper, dir string) {
+	t.Helper()
+	c, r := client(t, dir, k.Addr()), newRouter()
+	c.Restore(5*time.Second, r.apply)
+	c.Start(r.apply)
+	c.Stop() // what is not written yet is written then
+	if c.Counters.DiskFailed.Load() > 0 {
+		t.Fatal("the copy was not written")
+	}
+}
+
+// Without a keeper a router starts with its copy, within a bounded time; one that is damaged or of another router is set aside.
+func TestStartFromTheCopy(t *testing.T) {
+	k, dir := keepertest.New(t), t.TempDir()
+	rev := k.Change(worth("0.7"))
+	saved(t, k, dir)
+	silent := keepertest.New(t)
+	stop := make(chan struct{})
+	t.Cleanup(func() { close(stop) })
+	silent.Instead(func(http.ResponseWriter, *http.Request) { <-stop })
+	good, err := os.ReadFile(file(dir))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, how := range []struct {
+		name string
+		text func() string
+		ok   bool
+	}{
+		{"good", func() string { return string(good) }, true},
+		{"one bit", func() string { return strings.Replace(string(good), "0.7", "0.6", 1) }, false},
+		{"cut", func() string { return string(good[:len(good)-9]) }, false},
+		{"empty", func() string { return "" }, false},
+		{"foreign", func() string { return "{}\n" }, false},
+	} {
+		if err := os.WriteFile(file(dir), []byte(how.text()), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		c, r := client(t, dir, silent.Addr(), silent.Addr(), silent.Addr()), newRouter()
+		began := time.Now()
+		c.Restore(400*time.Millisecond, r.apply)
+		if took := time.Since(began); took > 2*time.Second { // far above the bound: the machine may be busy
+			t.Errorf("%s: the start took %v", how.name, took)
+		}
+		if got := r.latest().Revision; (got == rev) != how.ok || (c.Counters.SetAside.Load() == 0) != how.ok {
+			t.Errorf("%s: revision %d, set aside %d", how.name, got, c.Counters.SetAside.Load())
+		}
+		if _, err := os.Stat(file(dir) + ".aside"); (err == nil) == how.ok && !how.ok {
+			t.Errorf("%s: %v", how.name, err)
+		}
+	}
+	// Another router's file under this one's name.
+	if err := errors.Join(os.MkdirAll(dir, 0o700), os.WriteFile(file(dir), good, 0o600), os.Rename(file(dir), filepath.Join(dir, "n1.revision"))); err != nil {
+		t.Fatal(err)
+	}
+	other, r := New(Config{Addresses: []string{silent.Addr()}, Dir: dir, HoldMS: 100}, "n1", "1", discard), newRouter()
+	t.Cleanup(other.Stop)
+	other.Restore(100*time.Millisecond, r.apply)
+	if r.latest().Revision != 0 || other.Counters.SetAside.Load() != 1 {
+		t.Errorf("another router's copy: revision %d, set aside %d", r.latest().Revision, other.Counters.SetAside.Load())
+	}
+}
+
+// A copy that the router's own file does not fit with is refused, and the router starts without it.
+func TestCopyThatDoesNotFit(t *testing.T) {
+	k, dir := keepertest.New(t), t.TempDir()
+	rev := k.Change(worth("0.7"))
+	saved(t, k, dir)
+	c, r := client(t, dir, "127.0.0.1:1"), newRouter()
+	r.refuse[rev] = &Refusal{Reason: "does not fit"}
+	c.Restore(time.Second, r.apply)
+	if r.latest().Revision != 0 || c.Counters.Barred.Load() != int64(rev) {
+		t.Errorf("revision %d, refused %d", r.latest().Revision, c.Counters.Barred.Load())
+	}
+}
+
+// An unwritable disk is said once, and told in the counters; the configuration is in force all the same.
+func TestUnwritableDisk(t *testing.T) {
+	k, r := keepertest.New(t), newRouter()
+	dir := filepath.Join(t.TempDir(), "file")
+	if err := os.WriteFile(dir, nil, 0o600); err != nil { // no folder can be made there
+		t.Fatal(err)
+	}
+	var said lines
+	c := New(Config{Addresses: []string{k.Addr()}, Dir: dir, HoldMS: 100}, "n0", "1", slog.New(slog.NewTextHandler(&said, nil)))
+	c.Start(r.apply)
+	for i := range 3 {
+		k.UntilAt(k.Change(worth(fmt.Sprint(i))))
+	}
+	c.Stop()
+	if c.Counters.DiskFailed.Load() == 0 || strings.Count(said.text(), "can't be written") != 1 {
+		t.Errorf("failed %d: %s", c.Counters.DiskFailed.Load(), said.text())
+	}
+}
+
+type lines struct {
+	mu sync.Mutex
+	b  strings.Builder
+}
+
+func (l *lines) Write(b []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.Write(b)
+}
+
+func (l *lines) text() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.b.String()
+}
+
+// A process that is older doesn't write over the copy of the one that took its place.
+func TestCopyNeverGoesBack(t *testing.T) {
+	dir := t.TempDir()
+	d := newDisk(dir, "n/0", &Counters{}, discard)
+	for _, rev := range []uint64{3, 9, 4} {
+		f := rollout.NewFollower("a", "b")
+		entries := map[string]json.RawMessage{"/board": json.RawMessage(`"a:1"`)}
+		if _, ok, err := f.Offer(rollout.Update{To: rev, Snapshot: true, Put: entries, Hash: rollout.HashOf(entries)}); !ok {
+			t.Fatal(err)
+		}
+		f.Accept()
+		if !d.keep(f.Saved()) {
+			t.Fatal("not written")
+		}
+	}
+	if s, ok := d.read(); !ok || s.Revision != 9 {
+		t.Errorf("%d, %v", s.Revision, ok)
+	}
+	left, err := os.ReadDir(dir)
+	if err != nil || len(left) != 1 {
+		t.Errorf("%v, %v", left, err)
+	}
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -47,14 +47,29 @@
 
 // readConfig reads the configuration.
 func readConfig(path string) (cfg *settings.Node, err error) {
+	cfg, _, err = readOwn(path)
+	return cfg, err
+}
+
+// readOwn reads the configuration, and gives its text too.
+func readOwn(path string) (cfg *settings.Node, text []byte, err error) {
 	err = retry(func() error {
-		cfg, err = settings.ReadNode(path)
+		if text, err = os.ReadFile(path); err == nil {
+			cfg, err = settings.ParseNode(text)
+		}
 		return err
 	})
-	if err == nil && cfg.Control == "" {
+	if err == nil {
+		complete(cfg)
+	}
+	return cfg, text, err
+}
+
+// complete adds what the environment has for a configuration.
+func complete(cfg *settings.Node) {
+	if cfg.Control == "" {
 		cfg.Control = os.Getenv("PROXY_CONTROL")
 	}
-	return cfg, err
 }
 
 // bounds are those of the configuration, or this process's part of them while another one stands for the same router.
@@ -131,6 +146,10 @@
 
 // reload reads the files again and hands them to the loop. One that can't be used has nothing changed.
 func (r *node) reload(path string) {
+	if r.keepers != nil {
+		r.keepers.reload()
+		return
+	}
 	cfg, err := readConfig(path)
 	var s *site.Settings
 	if err == nil {
@@ -203,5 +222,8 @@
 	if (old.Records == nil) != (now.Records == nil) {
 		kept, now.Records = append(kept, "/records"), old.Records
 	}
+	if (old.Keepers == nil) != (now.Keepers == nil) {
+		kept, now.Keepers = append(kept, "/keepers"), old.Keepers
+	}
 	return kept
 }
--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -53,6 +53,10 @@
 	}{{"outstanding", r.core.Open()}, {"discovered", r.core.Listed()}, {"ejected", r.core.Avoided()}} {
 		fmt.Fprintf(&b, "svc.%s:%d|g\n", f.name, f.n)
 	}
+	if r.keepers != nil {
+		fmt.Fprintf(&b, "svc.configuration_revision:%d|g\nsvc.configuration_refused:%d|g\n", r.keepers.now.Revision,
+			r.keepers.client.Counters.Barred.Load())
+	}
 	return b.String()
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -76,7 +76,7 @@
 	// Heard from the first on: a signal that comes before the router is ready waits, where its default would end it.
 	signals := make(chan os.Signal, 16)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP, syscall.SIGUSR1, syscall.SIGCONT)
-	cfg, err := readConfig(path)
+	cfg, text, err := readOwn(path)
 	if err != nil {
 		return fmt.Errorf("%s: %w", path, err)
 	}
@@ -92,6 +92,10 @@
 		}
 	}()
 	r := newNode(cfg, own, opts, log.With("name", cfg.Name))
+	if own.Keepers != nil {
+		r.keepers = newKeepers(r, path, text)
+		r.keepers.restore()
+	}
 	r.begin(true)
 	go func() {
 		for s := range signals {
@@ -141,6 +145,7 @@
 	clientsAt string          // where clients connect
 	listening *netio.Listener // for them; nil while this process does not accept
 	records   records
+	keepers   *keepers // nil unless turned on
 	upgrade
 	stall
 }
--- a/internal/node/part.go
+++ b/internal/node/part.go
@@ -31,7 +31,7 @@
 }
 
 // makers make the parts whose section is there; the order is that in which they start.
-var makers = []func(*node) *part{recordPart, flightPart, bgpPart}
+var makers = []func(*node) *part{recordPart, flightPart, bgpPart, keepersPart}
 
 // counted is a set of counters: a pointer to a struct of int64 and atomic.Int64.
 type counted struct {
--- a/internal/node/peer.go
+++ b/internal/node/peer.go
@@ -7,6 +7,7 @@
 
 	"windflow/brain"
 	"windflow/internal/decide/takeover"
+	"windflow/internal/follow"
 	"windflow/internal/handover"
 	"windflow/internal/router"
 )
@@ -28,6 +29,8 @@
 		Listeners  []string          `json:"listeners"` // of the descriptors, in their order
 		At         map[string]string `json:"at"`        // their addresses
 		Parts      []string          `json:"parts"`
+		// Configuration is the revision of the keepers' that is in force; the process that takes over begins with no earlier one.
+		Configuration *follow.Revision `json:"configuration,omitempty"`
 	}
 	ready struct {
 		Took []string `json:"took"` // the listeners that the sender accepts on in the other's place
--- a/internal/node/takeover.go
+++ b/internal/node/takeover.go
@@ -347,12 +347,18 @@
 			s.Parts = append(s.Parts, p.name)
 		}
 	}
+	if r.keepers != nil && r.keepers.now.Revision > 0 {
+		s.Configuration = &r.keepers.now
+	}
 	r.log.Info("a successor has come", "open", r.core.Open())
 	return s, files
 }
 
 // takeState goes on from the elder's state.
 func (r *node) takeState() {
+	if s := r.handed.Configuration; s != nil && r.keepers != nil {
+		r.keepers.adopt(*s) // before it is built, and may accept
+	}
 	if r.core == nil {
 		if err := r.build(); err != nil {
 			r.fail(err)
--- a/internal/site/site.go
+++ b/internal/site/site.go
@@ -18,6 +18,7 @@
 
 	"windflow/internal/bgp"
 	"windflow/internal/flightsql"
+	"windflow/internal/follow"
 	"windflow/internal/record"
 )
 
@@ -26,6 +27,7 @@
 	FlightSQL *flightsql.Config `json:"flightsql"`
 	BGP       *bgp.Config       `json:"bgp"`
 	Records   *record.Config    `json:"records"`
+	Keepers   *follow.Config    `json:"keepers"`
 }
 
 //go:embed windflow.schema.json
@@ -83,6 +85,9 @@
 		defaults := record.Defaults
 		s.Records = &defaults
 	}
+	if sections["keepers"] != nil {
+		s.Keepers = &follow.Config{HoldMS: follow.DefaultHoldMS}
+	}
 	if err := json.Unmarshal(text, s); err != nil {
 		return nil, err
 	}
--- a/internal/site/site_test.go
+++ b/internal/site/site_test.go
@@ -17,7 +17,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if s.FlightSQL == nil || s.BGP == nil || s.BGP.HoldTimeS != 90 || s.BGP.Prefixes[0].String() != "127.0.0.1/32" {
+	if s.FlightSQL == nil || s.BGP == nil || s.BGP.HoldTimeS != 90 || s.BGP.Prefixes[0].String() != "127.0.0.1/32" ||
+		s.Keepers == nil || len(s.Keepers.Addresses) != 3 || s.Keepers.HoldMS != 2000 {
 		t.Errorf("%+v", s)
 	}
 }
@@ -49,7 +50,7 @@
 		"a null section":  {`{"bgp":null}`, []string{"/bgp: ", "object"}},
 		"a fraction":      {`{"flightsql":{"listen":"a:1","max_connections":1.5}}`, []string{"/flightsql/max_connections: "}},
 		"no prefixes":     {strings.Replace(bgp, `["10.1.0.1/32"]`, "[]", 1), []string{"/bgp/prefixes: "}},
-		"a section":       {`{"flight":{}}`, []string{"/: unknown field flight; known are $schema, bgp, flightsql, records"}},
+		"a section":       {`{"flight":{}}`, []string{"/: unknown field flight; known are $schema, bgp, flightsql, keepers, records"}},
 		"a field":         {`{"flightsql":{"listen":"a:1","max":3}}`, []string{"/flightsql: unknown field max; known are engine_kinds, listen, max_connections"}},
 		"a missing field": {`{"flightsql":{}}`, []string{"/flightsql: missing: listen"}},
 		"a range":         {`{"flightsql":{"listen":"a:1","max_connections":9999}}`, []string{"/flightsql/max_connections: maximum: 9999 is greater than 4096 (", "Connections taken at once"}},
@@ -57,6 +58,9 @@
 		"an item":         {`{"flightsql":{"listen":"a:1","engine_kinds":["x",""]}}`, []string{"/flightsql/engine_kinds/1: "}},
 		"two faults":      {`{"flightsql":{"listen":5,"max_connections":0}}`, []string{"/flightsql/listen: ", "\n/flightsql/max_connections: "}},
 		"a hold time":     {strings.Replace(bgp, `"peer_as"`, `"hold_time_s":2,"peer_as"`, 1), []string{"/bgp/hold_time_s: ", "0 for never, or 3 and more"}},
+		"no keepers":      {`{"keepers":{"addresses":[],"dir":"/x"}}`, []string{"/keepers/addresses: "}},
+		"a keeper":        {`{"keepers":{"addresses":["here"],"dir":"/x"}}`, []string{"/keepers/addresses/0: "}},
+		"a long hold":     {`{"keepers":{"addresses":["a:1"],"dir":"/x","hold_ms":9000}}`, []string{"/keepers/hold_ms: ", "2500"}},
 		"host bits":       {strings.Replace(bgp, "10.1.0.1/32", "10.1.0.1/24", 1), []string{"/bgp: field prefixes: 10.1.0.1/24"}},
 		"an IPv6 address": {strings.Replace(bgp, `"router_id":"10.0.0.1"`, `"router_id":"::1"`, 1), []string{"/bgp/router_id: "}},
 	} {
