--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -103,7 +103,7 @@
 	c := &Client{cfg: cfg, log: log, state: rollout.NewFollower(name, instance), began: time.Now(), tokens: 2, tokenAt: time.Now()}
 	c.stopped, c.stop = context.WithCancel(context.Background())
 	c.disk = newDisk(cfg.Dir, name, &c.Counters, log)
-	c.poller = newPoller(name)
+	c.poller = &poller{}
 	return c
 }
 
--- a/internal/follow/poller.go
+++ b/internal/follow/poller.go
@@ -1,9 +1,11 @@
 package follow
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -24,29 +26,41 @@
 	mostSaid = 200
 )
 
-// poller makes the calls, over one connection that is kept.
+// poller makes the calls, one at a time over one connection that is kept. Requests and answers are net/http's; its Transport
+// would bring a TLS client and HTTP/2 into every router, 1.5 MB of it resident, for plain calls to one address.
 type poller struct {
-	transport *http.Transport
-	client    *http.Client
-	agent     string
+	addr  string
+	conn  net.Conn // nil for none
+	left  *io.LimitedReader
+	in    *bufio.Reader
+	fresh bool // nothing was asked on it yet
 }
 
-func newPoller(name string) *poller {
-	t := &http.Transport{
-		DialContext:            (&net.Dialer{Timeout: dialWithin}).DialContext,
-		DisableCompression:     true,
-		MaxConnsPerHost:        1,
-		MaxIdleConns:           1,
-		IdleConnTimeout:        30 * time.Second,
-		MaxResponseHeaderBytes: mostHeader,
+func (p *poller) close() {
+	if p.conn != nil {
+		_ = p.conn.Close()
+		p.conn = nil
 	}
-	return &poller{transport: t, agent: "windflow", client: &http.Client{Transport: t,
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse }}}
 }
 
-func (p *poller) close() { p.transport.CloseIdleConnections() }
+// open has a connection to a keeper, the one that there is or another one.
+func (p *poller) open(ctx context.Context, addr string) error {
+	if p.conn != nil && p.addr == addr {
+		return nil
+	}
+	p.close()
+	conn, err := (&net.Dialer{Timeout: dialWithin}).DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return err
+	}
+	p.addr, p.conn, p.fresh = addr, conn, true
+	p.left = &io.LimitedReader{R: conn}
+	p.in = bufio.NewReader(p.left)
+	return nil
+}
 
-// ask says what this router has and hears what is new; not fresh where nothing is. The context bounds all of it.
+// ask says what this router has and hears what is new; not fresh where nothing is. The context, which has to have a deadline,
+// bounds all of it.
 func (p *poller) ask(ctx context.Context, addr string, report rollout.Report, holdMS int) (u rollout.Update, fresh bool, err error) {
 	body, err := json.Marshal(struct {
 		Report rollout.Report `json:"report"`
@@ -55,30 +69,70 @@
 	if err != nil {
 		return u, false, err
 	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+"/v1/follow", bytes.NewReader(body))
+	for {
+		if err := p.open(ctx, addr); err != nil {
+			return u, false, err
+		}
+		kept := !p.fresh
+		status, text, err := p.call(ctx, body)
+		switch {
+		case kept && errors.Is(err, errClosed) && ctx.Err() == nil:
+			continue // the keeper had closed it while it was not used
+		case err != nil:
+			return u, false, err
+		case status == http.StatusNoContent:
+			return u, false, nil
+		case status != http.StatusOK:
+			return u, false, fmt.Errorf("status %d: %s", status, bytes.ToValidUTF8(text[:min(len(text), mostSaid)], nil))
+		}
+		if err := json.Unmarshal(text, &u); err != nil {
+			return u, false, fmt.Errorf("the answer can't be read: %w", err)
+		}
+		return u, !u.Nothing(), nil
+	}
+}
+
+// errClosed is a connection that ended before anything of the answer came.
+var errClosed = errors.New("the connection was closed")
+
+// call asks on the open connection. After an error it is closed.
+func (p *poller) call(ctx context.Context, body []byte) (status int, text []byte, err error) {
+	conn := p.conn
+	keep := false
+	defer func() {
+		if !keep {
+			p.close()
+		}
+	}()
+	r, err := http.NewRequest(http.MethodPost, "http://"+p.addr+"/v1/follow", bytes.NewReader(body))
 	if err != nil {
-		return u, false, err
+		return 0, nil, err
 	}
 	r.Header.Set("Content-Type", "application/json")
-	r.Header.Set("User-Agent", p.agent)
-	answer, err := p.client.Do(r)
+	r.Header.Set("User-Agent", "windflow")
+	if at, ok := ctx.Deadline(); ok {
+		_ = conn.SetDeadline(at)
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	p.fresh = false
+	if err := r.Write(conn); err != nil {
+		return 0, nil, fmt.Errorf("%w: %w", errClosed, err)
+	}
+	p.left.N = mostHeader
+	if _, err := p.in.Peek(1); err != nil {
+		return 0, nil, fmt.Errorf("%w: %w", errClosed, err)
+	}
+	answer, err := http.ReadResponse(p.in, r)
 	if err != nil {
-		return u, false, err
+		return 0, nil, err
 	}
 	defer answer.Body.Close()
-	text, err := io.ReadAll(io.LimitReader(answer.Body, mostAnswer+1))
-	switch {
-	case err != nil:
-		return u, false, err
-	case len(text) > mostAnswer:
-		return u, false, fmt.Errorf("an answer of more than %d bytes", mostAnswer)
-	case answer.StatusCode == http.StatusNoContent:
-		return u, false, nil
-	case answer.StatusCode != http.StatusOK:
-		return u, false, fmt.Errorf("status %d: %s", answer.StatusCode, bytes.ToValidUTF8(text[:min(len(text), mostSaid)], nil))
-	}
-	if err := json.Unmarshal(text, &u); err != nil {
-		return u, false, fmt.Errorf("the answer can't be read: %w", err)
+	p.left.N += mostAnswer
+	text, err = io.ReadAll(io.LimitReader(answer.Body, mostAnswer+1))
+	if err == nil && len(text) > mostAnswer {
+		err = fmt.Errorf("an answer of more than %d bytes", mostAnswer)
 	}
-	return u, !u.Nothing(), nil
+	keep = err == nil && !answer.Close && stop()
+	return answer.StatusCode, text, err
 }
--- a/internal/settings/overlay.go
+++ b/internal/settings/overlay.go
@@ -10,6 +10,8 @@
 	"slices"
 	"strconv"
 	"strings"
+
+	jsoniter "github.com/json-iterator/go"
 )
 
 // Value is the JSON text of an entry's value.
@@ -47,7 +49,10 @@
 			return nil, err
 		}
 		for i := range pointer {
-			if _, above := entries[pointer[:i]]; above && pointer[i] == '/' {
+			if pointer[i] != '/' {
+				continue
+			}
+			if _, above := entries[pointer[:i]]; above {
 				return nil, &EntryError{pointer, "is part of the entry " + pointer[:i]}
 			}
 		}
@@ -69,7 +74,7 @@
 			return nil, &EntryError{partiesAt + escape(slices.Sorted(maps.Keys(parties))[0]), err.Error()}
 		}
 	}
-	return json.Marshal(doc)
+	return doc.append(nil), nil
 }
 
 // CheckEntry tells whether an entry may be, whatever it is laid over: its pointer names a field that entries may set, and
@@ -150,20 +155,29 @@
 	return &EntryError{pointer, strings.TrimPrefix(err.Error(), "json: ")}
 }
 
+// party is what may stand in a party's entry.
+type party struct {
+	Name  *string  `json:"name"`
+	Quota *float64 `json:"quota-rps"`
+	Share *float64 `json:"share"`
+}
+
+// strict is the quick reader of the many parties; what it refuses is worded by fits.
+var strict = jsoniter.Config{DisallowUnknownFields: true}.Froze()
+
 // checkParty tells whether a party may be put. The error is an EntryError.
 func checkParty(pointer, name string, value Value) error {
-	var p struct {
-		Name  *string  `json:"name"`
-		Quota *float64 `json:"quota-rps"`
-		Share *float64 `json:"share"`
-	}
-	if err := fits(pointer, value, reflect.TypeOf(p)); err != nil {
-		return err
+	var p party
+	if strict.Unmarshal(value, &p) != nil {
+		if err := fits(pointer, value, reflect.TypeFor[party]()); err != nil {
+			return err
+		}
+		if err := json.Unmarshal(value, &p); err != nil {
+			return &EntryError{pointer, err.Error()}
+		}
 	}
 	fault := func(reason string) error { return &EntryError{pointer, reason} }
-	switch err := json.Unmarshal(value, &p); {
-	case err != nil:
-		return fault(err.Error())
+	switch {
 	case p.Name != nil && *p.Name != name:
 		return fault(fmt.Sprintf("field name: %q is not the name in the pointer", *p.Name))
 	case p.Quota == nil:
@@ -176,22 +190,22 @@
 	return nil
 }
 
-// listOf gives the list of parties, by name.
+// listOf gives the list of parties, by name. Each is an object that was checked, and not empty.
 func listOf(parties map[string]Value) (Value, error) {
-	var list []map[string]Value
-	for _, name := range slices.Sorted(maps.Keys(parties)) {
-		var p map[string]Value
-		if err := json.Unmarshal(parties[name], &p); err != nil {
-			return nil, &EntryError{partiesAt + escape(name), err.Error()}
-		}
+	list := []byte{'['}
+	for i, name := range slices.Sorted(maps.Keys(parties)) {
 		text, err := json.Marshal(name)
 		if err != nil {
 			return nil, &EntryError{partiesAt + escape(name), err.Error()}
 		}
-		p["name"] = text
-		list = append(list, p)
+		if i > 0 {
+			list = append(list, ',')
+		}
+		// A name in the object is the same one, so that it may stand there twice.
+		list = append(append(append(list, `{"name":`...), text...), ',')
+		list = append(list, bytes.TrimSpace(parties[name])[1:]...)
 	}
-	return json.Marshal(list)
+	return append(list, ']'), nil
 }
 
 // fieldOf gives the type of the field that JSON calls by a name.
@@ -284,17 +298,33 @@
 	return name
 }
 
-// MarshalJSON implements json.Marshaler.
-func (t *tree) MarshalJSON() ([]byte, error) {
+// append writes the document; what was not taken apart stays as it was written.
+func (t *tree) append(b []byte) []byte {
 	switch {
 	case t.object != nil:
-		return json.Marshal(t.object)
+		b = append(b, '{')
+		for i, name := range slices.Sorted(maps.Keys(t.object)) {
+			if i > 0 {
+				b = append(b, ',')
+			}
+			text, _ := json.Marshal(name) // a string always can be
+			b = append(append(b, text...), ':')
+			b = t.object[name].append(b)
+		}
+		return append(b, '}')
 	case t.list != nil:
-		return json.Marshal(t.list)
+		b = append(b, '[')
+		for i, item := range t.list {
+			if i > 0 {
+				b = append(b, ',')
+			}
+			b = item.append(b)
+		}
+		return append(b, ']')
 	case len(t.raw) == 0:
-		return []byte("null"), nil
+		return append(b, "null"...)
 	}
-	return t.raw, nil
+	return append(b, t.raw...)
 }
 
 // indexOf reads the number of an item.
@@ -313,6 +343,9 @@
 		return nil
 	}
 	steps := strings.Split(rest, "/")
+	if !strings.Contains(rest, "~") {
+		return steps
+	}
 	for i, s := range steps {
 		steps[i] = strings.ReplaceAll(strings.ReplaceAll(s, "~1", "/"), "~0", "~")
 	}
