Let a keeper hold the first call of a start, and count no loss where it has nothing new

A keeper says nothing to a process before it is on the replicated roster, so that a first call with no wait brought a new process nothing.

--- a/internal/follow/follow.go
+++ b/internal/follow/follow.go
@@ -146,7 +146,8 @@
 }
 
 // Restore brings a revision in force at the start: the copy on the disk, and on top of it what a keeper that answers within
-// the time has. Each keeper is asked once. It is called before Start.
+// the time has. Each keeper is asked once. It may hold the call for a part of the time: it says nothing to a process before
+// the keepers have noted that there is one. Restore is called before Start.
 func (c *Client) Restore(within time.Duration, apply Apply) {
 	ctx, cancel := context.WithTimeout(c.stopped, within)
 	defer cancel()
@@ -160,17 +161,22 @@
 	}
 	cfg := c.config()
 	n := len(cfg.Addresses)
-	for range n {
-		if ctx.Err() != nil {
-			break
-		}
+	hold := min(within*3/8, time.Duration(cfg.HoldMS)*time.Millisecond)
+	for i := range n {
 		each, done := context.WithTimeout(ctx, within/time.Duration(min(n, 2)))
-		u, _, err := c.poller.ask(each, cfg.Addresses[c.state.Keeper(n)], c.state.Ask(), 0)
+		u, fresh, err := c.poller.ask(each, cfg.Addresses[c.state.Keeper(n)], c.state.Ask(), int(hold.Milliseconds()))
 		done()
-		if err == nil && c.take(u) == nil {
+		if err == nil && fresh {
+			err = c.take(u)
+		}
+		if err == nil {
 			return
 		}
-		pause(ctx, time.Duration(c.state.Lost(c.now(), 0)*1e6)) // none before each was asked
+		wait := c.state.Lost(c.now(), 0) // none before each was asked
+		if i == n-1 || ctx.Err() != nil {
+			break
+		}
+		pause(ctx, time.Duration(wait*1e6))
 	}
 	c.log.Warn("no keeper answered at the start", "revision", c.state.Ask().Revision)
 }
--- a/internal/follow/follow_test.go
+++ b/internal/follow/follow_test.go
@@ -384,3 +384,16 @@
 		t.Errorf("%v, %v", left, err)
 	}
 }
+
+// A copy that is up to date, and a keeper that says so, is no loss at the start, and costs no more than the hold.
+func TestStartUpToDate(t *testing.T) {
+	k, dir := keepertest.New(t), t.TempDir()
+	rev := k.Change(worth("0.7"))
+	saved(t, k, dir)
+	c, r := New(Config{Addresses: []string{k.Addr()}, Dir: dir, HoldMS: 100}, "n/0", rollout.Instance(2, 2), discard), newRouter()
+	t.Cleanup(c.Stop)
+	c.Restore(20*time.Second, r.apply)
+	if r.latest().Revision != rev || c.Counters.Changes.Load() != 1 {
+		t.Errorf("revision %d after %d changes", r.latest().Revision, c.Counters.Changes.Load())
+	}
+}
--- a/internal/follow/keepertest/keepertest.go
+++ b/internal/follow/keepertest/keepertest.go
@@ -28,12 +28,13 @@
 	changed chan struct{} // closed at the next change
 	instead http.HandlerFunc
 	heard   chan rollout.Report
+	noted   map[string]bool // instances
 }
 
 // New runs a keeper that ends with the test.
 func New(t testing.TB) *Keeper {
 	k := &Keeper{t: t, log: rollout.NewLog(rollout.DefaultTerms), changed: make(chan struct{}), stop: make(chan struct{}),
-		heard: make(chan rollout.Report, 1<<14)}
+		heard: make(chan rollout.Report, 1<<14), noted: map[string]bool{}}
 	k.server = httptest.NewServer(k)
 	t.Cleanup(func() {
 		close(k.stop)
@@ -121,6 +122,14 @@
 	case k.heard <- ask.Report:
 	default:
 	}
+	k.mu.Lock()
+	newcomer := !k.noted[ask.Report.Instance]
+	k.noted[ask.Report.Instance] = true
+	k.mu.Unlock()
+	if newcomer && ask.WaitMS == 0 { // the keepers have not agreed on it when the call ends
+		w.WriteHeader(http.StatusNoContent)
+		return
+	}
 	late := time.After(time.Duration(ask.WaitMS) * time.Millisecond)
 	for {
 		k.mu.Lock()
