Keep the configuration by revision on up to five keepers, replicated by raft

A change of the routers' configuration was a file and a signal at each; nobody knew where it was in force. windflowkeeper holds the log of revisions (internal/decide/rollout) by hashicorp/raft: any keeper takes a change and passes it on, the leader checks it as `windflow config check` does and has it replicated, followers get what differs by a call that is held, and the leader alone says where a revision is in force, after a barrier.

--- /dev/null
+++ b/internal/keeper/change_test.go
@@ -0,0 +1,137 @@
+package keeper_test
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"sync"
+	"testing"
+
+	"windflow/internal/decide/rollout"
+)
+
+func number(n uint64) *uint64 { return &n }
+
+// What an operator can ask of any keeper, and what is said to a wrong call.
+func TestCallsOfOperators(t *testing.T) {
+	g := started(t, 3, nil)
+	leader := g.leader()
+	other := (leader + 1) % 3
+	for i := range 3 {
+		if rev := g.change(i, put(fmt.Sprint("c", i), "/settings/over-share-worth", fmt.Sprint(i))); rev != uint64(i+1) {
+			t.Errorf("change %d has revision %d", i, rev)
+		}
+	}
+	var r reply
+	for _, c := range []struct {
+		what, path string
+		in         any
+		code       int
+		parts      string // in kind, pointer, reason, revision
+	}{
+		{"repeated", "/v1/changes", put("c1", "/settings/over-share-worth", "1"), 200, "2 true"},
+		{"reused id", "/v1/changes", put("c1", "/settings/over-share-worth", "7"), 409, "reused 2"},
+		{"conflict", "/v1/changes", rollout.Change{ID: "x", Expect: number(2), Put: put("", "/settings/over-share-worth", "9").Put}, 409, "conflict 3"},
+		{"checked", "/v1/changes", put("y", refusedPointer, "-1"), 422, "invalid " + refusedPointer + " below zero"},
+		{"not allowed", "/v1/changes", put("z", "/listen", `"x"`), 422, "invalid /listen"},
+		{"no id", "/v1/changes", put("", "/settings/over-share-worth", "1"), 400, "malformed field id"},
+		{"unknown field", "/v1/changes", `{"id":"a","putt":{}}`, 400, "malformed field putt"},
+		{"wrong kind", "/v1/changes", `{"id":5}`, 400, "malformed field id"},
+		{"no JSON", "/v1/changes", `{"id":`, 400, "malformed"},
+		{"two values", "/v1/changes", `{"id":"a"} {}`, 400, "malformed after"},
+		{"too large", "/v1/changes", `{"id":"` + strings.Repeat("a", 5<<20) + `"}`, 413, "malformed bytes"},
+		{"no to", "/v1/revert", `{"id":"r"}`, 400, "malformed field to"},
+		{"revert to the future", "/v1/revert", `{"id":"r","to":99}`, 422, "invalid revert_to"},
+		{"revert", "/v1/revert", `{"id":"r","to":1,"expect":3,"note":"back"}`, 200, "4 false"},
+		{"revert again", "/v1/revert", `{"id":"r","to":1,"expect":3,"note":"back"}`, 200, "4 true"},
+	} {
+		for _, i := range []int{leader, other} {
+			r = reply{}
+			if code := g.post(i, c.path, c.in, &r); code != c.code {
+				t.Errorf("%s at %d: %d, want %d: %+v", c.what, i, code, c.code, r)
+			}
+			text := fmt.Sprint(r.Kind, " ", r.Pointer, " ", r.Reason, " ", r.Revision, " ", r.Repeated)
+			for part := range strings.FieldsSeq(c.parts) {
+				if c.what == "revert" && i == other && part == "false" {
+					part = "true" // it was made by the call before
+				}
+				if !strings.Contains(text, part) {
+					t.Errorf("%s at %d: %q is not in %q", c.what, i, part, text)
+				}
+			}
+		}
+	}
+	g.equal(4)
+	if c := g.at(other, 4); string(c.Entries["/settings/over-share-worth"]) != "0" {
+		t.Errorf("after the revert: %s", c.Entries)
+	}
+	if c := g.at(other, 3); string(c.Entries["/settings/over-share-worth"]) != "2" {
+		t.Errorf("revision 3: %s", c.Entries)
+	}
+	var h struct {
+		Oldest    uint64             `json:"oldest"`
+		Revisions []rollout.Revision `json:"revisions"`
+	}
+	if code := g.get(other, "/v1/revisions?from=2&most=2", &h); code != 200 || len(h.Revisions) != 2 || h.Revisions[0].ID != "c1" || h.Revisions[0].AtMS == 0 {
+		t.Errorf("revisions: %d %+v", code, h)
+	}
+	if code := g.get(other, "/v1/config?revision=9", &r); code != 404 {
+		t.Errorf("a revision that isn't there: %d", code)
+	}
+	if code := g.get(other, "/v1/config?revision=x", &r); code != 400 || !strings.Contains(r.Reason, "revision") {
+		t.Errorf("no number: %d %+v", code, r)
+	}
+}
+
+// A call that was passed on by one keeper is not passed on by the next.
+func TestNoCallGoesRound(t *testing.T) {
+	g := started(t, 3, nil)
+	other := (g.leader() + 1) % 3
+	q, err := http.NewRequest(http.MethodPost, "http://"+g.members[other].options.HTTP+"/v1/changes",
+		strings.NewReader(`{"id":"a","put":{"/settings/over-share-worth":1}}`))
+	if err != nil {
+		t.Fatal(err)
+	}
+	q.Header.Set("Windflow-Keeper", "k9")
+	a, err := client.Do(q)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = a.Body.Close()
+	if a.StatusCode != http.StatusServiceUnavailable {
+		t.Error(a.Status)
+	}
+	if s := g.status(other); s.Counters["passed_on"] != 0 || s.Revision != 0 {
+		t.Errorf("%+v", s)
+	}
+}
+
+// Two operators who have seen the same revision: one gets the next, the other is told which is in force.
+func TestTwoOperatorsOnOneRevision(t *testing.T) {
+	g := started(t, 3, nil)
+	for round := range uint64(20) {
+		var replies [2]reply
+		var codes [2]int
+		var both sync.WaitGroup
+		for i := range 2 {
+			both.Go(func() {
+				c := put(fmt.Sprint(round, "-", i), "/settings/over-share-worth", fmt.Sprint(i))
+				c.Expect = number(round)
+				var err error
+				codes[i], err = ask("http://"+g.members[i].options.HTTP, http.MethodPost, "/v1/changes", c, &replies[i])
+				if err != nil {
+					t.Error(err)
+				}
+			})
+		}
+		both.Wait()
+		won, lost := 0, 1
+		if codes[0] != 200 {
+			won, lost = 1, 0
+		}
+		if codes[won] != 200 || replies[won].Revision != round+1 || codes[lost] != 409 || replies[lost].Kind != "conflict" || replies[lost].Revision != round+1 {
+			t.Fatalf("round %d: %v %+v", round, codes, replies)
+		}
+	}
+	g.equal(20)
+}
--- /dev/null
+++ b/internal/keeper/command.go
@@ -0,0 +1,69 @@
+package keeper
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"hash/crc32"
+
+	"windflow/internal/decide/rollout"
+)
+
+// command is one entry of the replicated log. Exactly one of its fields is set.
+type command struct {
+	Change *changeCommand `json:"change,omitempty"`
+	Join   []seat         `json:"join,omitempty"`   // followers' processes heard for the first time
+	Forget string         `json:"forget,omitempty"` // name of a follower that is gone for good
+}
+
+// seat is one process of a follower.
+type seat struct {
+	Name     string `json:"name"`
+	Instance string `json:"instance"`
+}
+
+// changeCommand is a change that was checked against the content at revision Base, and counts on no other one.
+type changeCommand struct {
+	Base   uint64         `json:"base"`
+	Change rollout.Change `json:"change"`
+}
+
+// commandFormat is the first byte of each entry; then come a CRC-32C of the rest, and JSON.
+const commandFormat = 1
+
+const commandHead = 1 + 4
+
+var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+
+func (c command) encode() ([]byte, error) {
+	body, err := json.Marshal(c)
+	if err != nil {
+		return nil, err
+	}
+	out := make([]byte, commandHead, commandHead+len(body))
+	out[0] = commandFormat
+	binary.BigEndian.PutUint32(out[1:], crc32.Checksum(body, castagnoli))
+	return append(out, body...), nil
+}
+
+// checkCommand tells whether an entry is as it was written.
+func checkCommand(data []byte) error {
+	if len(data) < commandHead {
+		return errors.New("entry is cut off")
+	}
+	if data[0] != commandFormat {
+		return fmt.Errorf("entry has format %d, this program knows %d", data[0], commandFormat)
+	}
+	if crc32.Checksum(data[commandHead:], castagnoli) != binary.BigEndian.Uint32(data[1:]) {
+		return errors.New("entry does not match its checksum")
+	}
+	return nil
+}
+
+func decodeCommand(data []byte) (c command, err error) {
+	if err := checkCommand(data); err != nil {
+		return c, err
+	}
+	return c, json.Unmarshal(data[commandHead:], &c)
+}
--- /dev/null
+++ b/internal/keeper/follow_test.go
@@ -0,0 +1,214 @@
+package keeper_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"reflect"
+	"testing"
+	"time"
+
+	"windflow/internal/decide/rollout"
+	"windflow/internal/keeper"
+)
+
+// rolloutReply is what GET /v1/rollout gives.
+type rolloutReply struct {
+	rollout.Verdict
+	Keeper   string `json:"keeper"`
+	Majority bool   `json:"majority"`
+	Why      string `json:"why"`
+	code     int
+	err      error
+}
+
+// follower plays a router.
+type follower struct {
+	g              *group
+	name, instance string
+	revision       uint64
+	hash           rollout.Hash
+	refused        *rollout.Refusal
+	content        map[string]json.RawMessage
+	updates        []rollout.Update
+}
+
+// call asks once, and takes what it gets.
+func (f *follower) call(i int, waitMS int) (code int) {
+	f.g.t.Helper()
+	var u rollout.Update
+	code = f.g.post(i, "/v1/follow", map[string]any{"wait_ms": waitMS, "report": rollout.Report{Name: f.name, Instance: f.instance,
+		Revision: f.revision, Hash: f.hash, Refused: f.refused}}, &u)
+	if code != http.StatusOK || u.Behind {
+		return code
+	}
+	f.updates = append(f.updates, u)
+	if u.Snapshot {
+		f.content = map[string]json.RawMessage{}
+	}
+	for p, v := range u.Put {
+		if f.content == nil {
+			f.content = map[string]json.RawMessage{}
+		}
+		f.content[p] = v
+	}
+	for _, p := range u.Remove {
+		delete(f.content, p)
+	}
+	f.revision, f.hash = u.To, u.Hash
+	if h := rollout.HashOf(f.content); h != u.Hash {
+		f.g.t.Errorf("%s: content of revision %d has hash %s, not %s", f.name, u.To, h, u.Hash)
+	}
+	return code
+}
+
+// until calls a keeper until the follower has a revision.
+func (f *follower) until(i int, rev uint64) {
+	f.g.t.Helper()
+	wait(f.g.t, fmt.Sprintf("%s at revision %d", f.name, rev), func() bool { return f.revision >= rev || f.call(i, 1000) != 200 && f.revision >= rev })
+}
+
+// ack tells a keeper what is in force.
+func (f *follower) ack(i int) { f.g.t.Helper(); f.call(i, 0) }
+
+// From a follower's first call to a verdict, and what a refusal and a follower that is gone look like.
+func TestWhoHasIt(t *testing.T) {
+	g := started(t, 3, func(_ int, o *keeper.Options) { o.Lease = 1500 * time.Millisecond })
+	a, b := follower{g: g, name: "ra", instance: "1"}, follower{g: g, name: "rb", instance: "1"}
+	g.change(0, put("first", "/settings/over-share-worth", "1"))
+	a.until(0, 1)
+	b.until(2, 1)
+	a.ack(0)
+	b.ack(2)
+	v := g.verdict(1, "revision=1&wait_ms=10000")
+	if !v.Everywhere || len(v.InForce) != 2 || !v.Majority {
+		t.Errorf("both have it: %+v", v)
+	}
+	// A call that waits gets the change; the verdict that waits gets the follower's word.
+	type got struct{ code int }
+	calls := make(chan got, 2)
+	go func() { calls <- got{a.call(1, 700)} }()
+	go func() { calls <- got{b.call(2, 700)} }()
+	wait(t, "two calls held", func() bool { return g.status(1).Counters["waiting"] == 1 && g.status(2).Counters["waiting"] == 1 })
+	g.change(0, put("second", "/settings/over-share-worth", "2"))
+	for range 2 {
+		if c := <-calls; c.code != 200 {
+			t.Errorf("held calls: %d", c.code)
+		}
+	}
+	a.ack(1)
+	b.revision, b.refused = 1, &rollout.Refusal{Revision: 2, Hash: b.hash, Pointer: "/settings/over-share-worth", Reason: "too much"}
+	b.hash = rollout.HashOf(map[string]json.RawMessage{"/settings/over-share-worth": json.RawMessage("1")})
+	if code := b.call(2, 0); code != http.StatusNoContent {
+		t.Errorf("a follower that refused the revision is offered it again: %d", code)
+	}
+	v = g.verdict(0, "revision=2")
+	if v.Everywhere || len(v.InForce) != 1 || len(v.Refused) != 1 || v.Refused[0].Refused.Pointer != "/settings/over-share-worth" || v.Refused[0].Refused.Reason != "too much" {
+		t.Errorf("one refused: %+v", v)
+	}
+	wait(t, "a follower that doesn't call is gone", func() bool {
+		a.call(1, 0)
+		v = g.verdict(0, "")
+		return reflect.DeepEqual(v.Gone, []string{"rb"})
+	})
+	if len(v.Refused) != 0 || v.Revision != 2 {
+		t.Errorf("gone: %+v", v)
+	}
+	var forgotten struct {
+		Forgotten bool `json:"forgotten"`
+	}
+	if code := g.do(1, http.MethodDelete, "/v1/followers/rb", nil, &forgotten); code != 200 || !forgotten.Forgotten {
+		t.Errorf("forget: %d %+v", code, forgotten)
+	}
+	if code := g.do(2, http.MethodDelete, "/v1/followers/rb", nil, &forgotten); code != 200 || forgotten.Forgotten {
+		t.Errorf("forget again: %d %+v", code, forgotten)
+	}
+	a.call(1, 0)
+	if v = g.verdict(2, ""); len(v.Gone) != 0 {
+		t.Errorf("forgotten: %+v", v)
+	}
+}
+
+func (g *group) verdict(i int, query string) (v rolloutReply) {
+	g.t.Helper()
+	if code := g.get(i, "/v1/rollout?"+query, &v); code != 200 {
+		g.t.Fatalf("verdict: %d", code)
+	}
+	return v
+}
+
+// A keeper that has just started can't know who lives, and a verdict says so by naming it.
+func TestKeeperJustStartedIsNoWitness(t *testing.T) {
+	g := started(t, 3, nil)
+	g.change(0, put("first", "/settings/over-share-worth", "1"))
+	a := follower{g: g, name: "ra", instance: "1"}
+	a.until(0, 1)
+	a.ack(0)
+	if v := g.verdict(1, ""); len(v.Unreached) != 3 {
+		t.Errorf("all have just started: %+v", v)
+	}
+	if v := g.verdict(1, "wait_ms=10000"); !v.Everywhere {
+		t.Errorf("the only follower is heard: %+v", v)
+	}
+}
+
+// A keeper holds a bounded number of calls and says so to the next.
+func TestWaitingFollowersAreBounded(t *testing.T) {
+	g := started(t, 1, func(_ int, o *keeper.Options) { o.Waiting = 2 })
+	done := make(chan int, 2)
+	for n := range 2 {
+		f := follower{g: g, name: fmt.Sprint("r", n), instance: "1"}
+		go func() { done <- f.call(0, 2500) }()
+	}
+	wait(t, "two calls held", func() bool { return g.status(0).Counters["waiting"] == 2 })
+	f := follower{g: g, name: "r9", instance: "1"}
+	if code := f.call(0, 1000); code != http.StatusServiceUnavailable {
+		t.Errorf("the third call: %d", code)
+	}
+	g.change(0, put("first", "/settings/over-share-worth", "1"))
+	for range 2 {
+		if code := <-done; code != 200 {
+			t.Errorf("a held call: %d", code)
+		}
+	}
+	if code := f.call(0, 1000); code != http.StatusOK {
+		t.Errorf("with room: %d", code)
+	}
+}
+
+// A thousand changes later a follower at revision 1 gets one update: what differs where that is less, else the whole.
+func TestThousandChangesLater(t *testing.T) {
+	g := started(t, 3, nil)
+	wide, narrow := follower{g: g, name: "wide", instance: "1"}, follower{g: g, name: "narrow", instance: "1"}
+	for n := range 50 {
+		g.change(0, put(fmt.Sprint("base", n), fmt.Sprintf("/settings/parties/q%d", n), `{"quota-rps":1}`))
+	}
+	wide.until(1, 50)
+	change := put("c0", "/settings/over-share-worth", "0")
+	g.change(0, change)
+	narrow.until(1, 51)
+	from := time.Now()
+	for n := 1; n < 1000; n++ {
+		g.change(0, put(fmt.Sprint("c", n), fmt.Sprintf("/settings/parties/p%d", n%5), fmt.Sprintf(`{"quota-rps":%d}`, n)))
+	}
+	t.Logf("999 changes one after the other in %v", time.Since(from).Round(time.Millisecond))
+	for _, f := range []*follower{&wide, &narrow} {
+		f.updates = nil
+		g.at(2, 1050)
+		f.until(2, 1050)
+		if len(f.updates) != 1 || f.updates[0].Snapshot || len(f.updates[0].Put) > 6 || len(f.content) != 56 {
+			t.Errorf("%s: %d updates, snapshot %v, %d entries of %d", f.name, len(f.updates), f.updates[0].Snapshot, len(f.updates[0].Put), len(f.content))
+		}
+	}
+	fresh := follower{g: g, name: "fresh", instance: "1"}
+	fresh.until(1, 1050)
+	if len(fresh.updates) != 1 || !reflect.DeepEqual(fresh.content, wide.content) {
+		t.Errorf("fresh: %d updates, %d entries", len(fresh.updates), len(fresh.content))
+	}
+	first := follower{g: g, name: "first", instance: "1", revision: 1, hash: rollout.HashOf(map[string]json.RawMessage{"/settings/parties/q0": json.RawMessage(`{"quota-rps":1}`)})}
+	first.content = map[string]json.RawMessage{"/settings/parties/q0": json.RawMessage(`{"quota-rps":1}`)}
+	first.until(2, 1050)
+	if len(first.updates) != 1 || !reflect.DeepEqual(first.content, wide.content) {
+		t.Errorf("at revision 1: %d updates, %d entries", len(first.updates), len(first.content))
+	}
+}
--- /dev/null
+++ b/internal/keeper/group_test.go
@@ -0,0 +1,271 @@
+package keeper_test
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"windflow/internal/decide/rollout"
+	"windflow/internal/keeper"
+)
+
+// hosts numbers the loopback addresses that tests have taken: each keeper and each link has its own, on which nobody else
+// opens ports, so that a keeper finds its port free when it is started again.
+var hosts atomic.Uint32
+
+func host() string {
+	n, pid := hosts.Add(1), os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 16+pid%200, n/250+uint32(pid/200%8)*30, 1+n%250)
+}
+
+// group is some keepers with links that can fall silent.
+type group struct {
+	t       *testing.T
+	members []*process
+	links   map[[2]int][]*relay // from, to: of replication and of calls
+}
+
+// newGroup makes n keepers and starts none. Tweak may change what each is started with.
+func newGroup(t *testing.T, n int, tweak func(i int, o *keeper.Options)) *group {
+	t.Helper()
+	g := &group{t: t, links: map[[2]int][]*relay{}}
+	dir := t.TempDir()
+	var raft, http []string
+	for range n {
+		h := host()
+		raft, http = append(raft, h+":7402"), append(http, h+":7401")
+	}
+	for i := range n {
+		id := fmt.Sprintf("k%d", i+1)
+		o := keeper.Options{ID: id, Dir: filepath.Join(dir, id), HTTP: http[i], Raft: raft[i], Within: 10 * time.Second}
+		for j := range n {
+			p := keeper.Peer{ID: fmt.Sprintf("k%d", j+1), Raft: raft[j], HTTP: http[j]}
+			if i != j {
+				h := host()
+				p.Raft, p.HTTP = h+":7402", h+":7401"
+				g.links[[2]int{i, j}] = []*relay{newRelay(t, p.Raft, raft[j]), newRelay(t, p.HTTP, http[j])}
+			}
+			o.Peers = append(o.Peers, p)
+		}
+		if tweak != nil {
+			tweak(i, &o)
+		}
+		p := &process{t: t, options: o, logFile: filepath.Join(dir, id+".log")}
+		g.members = append(g.members, p)
+	}
+	t.Cleanup(func() {
+		for _, p := range g.members {
+			if p.cmd != nil && p.alive() {
+				_ = p.cmd.Process.Kill()
+				<-p.ended
+			}
+			if t.Failed() {
+				t.Logf("%s said:\n%s", p.options.ID, p.said())
+			}
+		}
+	})
+	return g
+}
+
+// started makes a group and starts it; it has a leader when this returns.
+func started(t *testing.T, n int, tweak func(i int, o *keeper.Options)) *group {
+	t.Helper()
+	g := newGroup(t, n, tweak)
+	for _, p := range g.members {
+		p.launch()
+	}
+	g.leader()
+	return g
+}
+
+// cut makes the links between two sides silent, or lets them speak again.
+func (g *group) cut(silent bool, a, b []int) {
+	for _, i := range a {
+		for _, j := range b {
+			for _, l := range append(g.links[[2]int{i, j}], g.links[[2]int{j, i}]...) {
+				l.hush(forth, silent)
+				l.hush(back, silent)
+			}
+		}
+	}
+}
+
+// status is what the tests read of a keeper's status.
+type status struct {
+	ID       string `json:"id"`
+	Leader   string `json:"leader"`
+	State    string `json:"state"`
+	Majority bool   `json:"majority"`
+	Revision uint64 `json:"revision"`
+	Hash     string `json:"hash"`
+	Roster   int    `json:"roster"`
+	Folder   struct {
+		Stage string   `json:"stage"`
+		Votes bool     `json:"votes"`
+		Aside []string `json:"aside"`
+	} `json:"folder"`
+	Counters  map[string]int64 `json:"counters"`
+	DiskError string           `json:"disk_error"`
+}
+
+// leader waits until some keeper leads that the living others agree on, and gives its place.
+func (g *group) leader() (at int) {
+	g.t.Helper()
+	wait(g.t, "a leader", func() bool {
+		at = -1
+		for i, p := range g.members {
+			var s status
+			if p.cmd == nil || !p.alive() || g.try(i, &s) != nil || s.State != "Leader" || !s.Majority {
+				continue
+			}
+			at = i
+		}
+		if at < 0 {
+			return false
+		}
+		n := 0
+		for i, p := range g.members {
+			var s status
+			if p.cmd != nil && p.alive() && g.try(i, &s) == nil && s.Leader == g.members[at].options.ID {
+				n++
+			}
+		}
+		return n > len(g.members)/2
+	})
+	return at
+}
+
+var client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 16}}
+
+// shortly is for calls that a stopped or silent keeper need not answer.
+var shortly = &http.Client{Timeout: 500 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
+
+func (g *group) try(i int, s *status) error {
+	a, err := shortly.Get("http://" + g.members[i].options.HTTP + "/v1/status")
+	if err != nil {
+		return err
+	}
+	defer func() { _ = a.Body.Close() }()
+	return json.NewDecoder(a.Body).Decode(s)
+}
+
+func (g *group) status(i int) (s status) {
+	g.t.Helper()
+	if code := g.get(i, "/v1/status", &s); code != http.StatusOK {
+		g.t.Fatalf("status: %d", code)
+	}
+	return s
+}
+
+func (g *group) get(i int, path string, out any) (code int) {
+	g.t.Helper()
+	return g.do(i, http.MethodGet, path, nil, out)
+}
+
+func (g *group) post(i int, path string, in, out any) (code int) {
+	g.t.Helper()
+	return g.do(i, http.MethodPost, path, in, out)
+}
+
+func (g *group) do(i int, method, path string, in, out any) (code int) {
+	g.t.Helper()
+	code, err := ask("http://"+g.members[i].options.HTTP, method, path, in, out)
+	if err != nil {
+		g.t.Fatalf("%s: %s %s: %v", g.members[i].options.ID, method, path, err)
+	}
+	return code
+}
+
+func ask(base, method, path string, in, out any) (code int, err error) {
+	var body io.Reader
+	switch v := in.(type) {
+	case nil:
+	case string:
+		body = bytes.NewBufferString(v)
+	default:
+		text, err := json.Marshal(in)
+		if err != nil {
+			return 0, err
+		}
+		body = bytes.NewReader(text)
+	}
+	q, err := http.NewRequest(method, base+path, body)
+	if err != nil {
+		return 0, err
+	}
+	a, err := client.Do(q)
+	if err != nil {
+		return 0, err
+	}
+	defer func() { _ = a.Body.Close() }()
+	text, err := io.ReadAll(a.Body)
+	if err == nil && out != nil && len(text) > 0 {
+		if err = json.Unmarshal(text, out); err != nil {
+			err = fmt.Errorf("%w: %s", err, text)
+		}
+	}
+	return a.StatusCode, err
+}
+
+// reply is all that a change may be answered with.
+type reply struct {
+	Revision uint64 `json:"revision"`
+	Repeated bool   `json:"repeated"`
+	Kind     string `json:"kind"`
+	Pointer  string `json:"pointer"`
+	Reason   string `json:"reason"`
+	Done     string `json:"done"`
+}
+
+func put(id, pointer, value string) rollout.Change {
+	return rollout.Change{ID: id, Put: map[string]json.RawMessage{pointer: json.RawMessage(value)}}
+}
+
+// change has a change made and gives its revision.
+func (g *group) change(i int, c rollout.Change) uint64 {
+	g.t.Helper()
+	var r reply
+	if code := g.post(i, "/v1/changes", c, &r); code != http.StatusOK {
+		g.t.Fatalf("change %s at %s: %d %+v", c.ID, g.members[i].options.ID, code, r)
+	}
+	return r.Revision
+}
+
+// config is what GET /v1/config gives.
+type config struct {
+	Revision uint64                     `json:"revision"`
+	Hash     string                     `json:"hash"`
+	Entries  map[string]json.RawMessage `json:"entries"`
+}
+
+// at waits until a keeper has a revision, and gives its content.
+func (g *group) at(i int, rev uint64) (c config) {
+	g.t.Helper()
+	if code := g.get(i, fmt.Sprintf("/v1/config?revision=%d&wait_ms=20000", rev), &c); code != http.StatusOK {
+		g.t.Fatalf("%s has no revision %d: %d", g.members[i].options.ID, rev, code)
+	}
+	return c
+}
+
+// equal looks whether all keepers hold the same at the revision that one of them has in force.
+func (g *group) equal(rev uint64) {
+	g.t.Helper()
+	first := g.at(0, rev)
+	for i := range g.members {
+		c := g.at(i, rev)
+		s := g.status(i)
+		if c.Hash != first.Hash || s.Revision != rev || s.Hash != first.Hash {
+			g.t.Errorf("%s: revision %d hash %s, in force %d %s; k1 has %s", s.ID, rev, c.Hash, s.Revision, s.Hash, first.Hash)
+		}
+	}
+}
+
+func (g *group) kill(i int) { g.t.Helper(); g.members[i].end(syscall.SIGKILL) }
--- /dev/null
+++ b/internal/keeper/idle_test.go
@@ -0,0 +1,83 @@
+package keeper_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"strings"
+	"testing"
+	"time"
+)
+
+var idle = flag.Duration("idle", 2*time.Second, "how long TestIdleKeepers looks on")
+
+// mostIdle bounds the resident memory of a keeper that has nothing to do, in kB; the race detector takes several times as much.
+const mostIdle = 64 << 10
+
+// What five keepers take that have nothing to do: memory, processor time, bytes between each other. With -idle 60s the
+// figures of the design note.
+func TestIdleKeepers(t *testing.T) {
+	g := started(t, 5, nil)
+	g.equal(g.change(0, put("first", "/settings/over-share-worth", "1")))
+	type figures struct {
+		term, bytes int64
+		ticks       int
+	}
+	look := func(i int) (f figures) {
+		var s struct {
+			Term     int64            `json:"term"`
+			Counters map[string]int64 `json:"counters"`
+		}
+		g.get(i, "/v1/status", &s)
+		return figures{term: s.Term, bytes: s.Counters["raft_bytes_in"] + s.Counters["raft_bytes_out"], ticks: cpuTicks(t, g.members[i].cmd.Process.Pid)}
+	}
+	var before [5]figures
+	for i := range before {
+		before[i] = look(i)
+	}
+	leader := g.leader()
+	time.Sleep(*idle) // what is measured is the time in which nothing is asked
+	for i := range before {
+		now, rss := look(i), resident(t, g.members[i].cmd.Process.Pid)
+		t.Logf("%s: %d kB resident, %.2f%% of a core, %.0f bytes a second between keepers, %d elections; leader %v", g.members[i].options.ID, rss,
+			float64(now.ticks-before[i].ticks)/idle.Seconds(), float64(now.bytes-before[i].bytes)/idle.Seconds(), now.term-before[i].term, i == leader)
+		if rss > mostIdle && !raced {
+			t.Errorf("%s has %d kB resident", g.members[i].options.ID, rss)
+		}
+		if now.bytes == before[i].bytes {
+			t.Errorf("%s neither sends nor gets a heartbeat", g.members[i].options.ID)
+		}
+	}
+}
+
+// resident is a process's resident memory in kB.
+func resident(t *testing.T, pid int) (kb int) {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	for line := range strings.Lines(string(text)) {
+		if rest, ok := strings.CutPrefix(line, "VmRSS:"); ok {
+			if _, err := fmt.Sscan(rest, &kb); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	return kb
+}
+
+// cpuTicks is a process's processor time in hundredths of a second.
+func cpuTicks(t *testing.T, pid int) int {
+	t.Helper()
+	text, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", pid))
+	if err != nil {
+		t.Fatal(err)
+	}
+	fields := strings.Fields(string(text[strings.LastIndexByte(string(text), ')')+1:]))
+	var user, system int
+	if _, err := fmt.Sscan(fields[11]+" "+fields[12], &user, &system); err != nil {
+		t.Fatal(err)
+	}
+	return user + system
+}
--- /dev/null
+++ b/internal/keeper/machine_test.go
@@ -0,0 +1,144 @@
+package keeper
+
+import (
+	"bytes"
+	"encoding/json"
+	"io"
+	"log/slog"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/hashicorp/raft"
+
+	"windflow/internal/decide/rollout"
+)
+
+func entry(t *testing.T, index uint64, c command) *raft.Log {
+	t.Helper()
+	data, err := c.encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &raft.Log{Index: index, Type: raft.LogCommand, Data: data}
+}
+
+func changing(id string, base uint64, value string) command {
+	return command{Change: &changeCommand{Base: base, Change: rollout.Change{ID: id,
+		Put: map[string]json.RawMessage{"/settings/over-share-worth": json.RawMessage(value)}}}}
+}
+
+// A change counts only on the content that it was checked against: two that are right each by itself may be wrong together.
+func TestChangeCountsOnItsBase(t *testing.T) {
+	m := newMachine(rollout.Terms{})
+	if out := m.Apply(entry(t, 1, changing("a", 0, "1"))).(outcome); out.Moved || out.Revision != 1 {
+		t.Errorf("%+v", out)
+	}
+	if out := m.Apply(entry(t, 2, changing("b", 0, "2"))).(outcome); !out.Moved || m.stand().Revision != 1 {
+		t.Errorf("%+v", out)
+	}
+	if out := m.Apply(entry(t, 3, changing("b", 1, "2"))).(outcome); out.Moved || out.Revision != 2 {
+		t.Errorf("%+v", out)
+	}
+}
+
+// A state that is written down and read again is the same, and goes on the same.
+func TestSnapshotHoldsAll(t *testing.T) {
+	m := newMachine(rollout.Terms{Revisions: 2})
+	for i, c := range []command{changing("a", 0, "1"), {Join: []seat{{"r2", "i"}, {"r1", "i"}}}, changing("b", 1, "2"), {Forget: "r2"}, changing("c", 2, "3")} {
+		m.Apply(entry(t, uint64(i+1), c))
+	}
+	s, err := m.Snapshot()
+	if err != nil {
+		t.Fatal(err)
+	}
+	other := newMachine(rollout.Terms{})
+	_, _, changed := other.at(nil)
+	if err := other.Restore(io.NopCloser(bytes.NewReader(s.(state)))); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-changed:
+	default:
+		t.Error("who waits isn't woken by a snapshot")
+	}
+	if other.stand() != m.stand() || m.stand().Oldest != 1 || !slices.Equal(other.names(), []string{"r1"}) || len(other.lacks([]seat{{"r1", "i"}, {"r2", "i"}, {"r1", "j"}})) != 2 {
+		t.Errorf("%+v, %+v, %v", m.stand(), other.stand(), other.names())
+	}
+	if out := other.Apply(entry(t, 9, changing("b", 3, "2"))).(outcome); !out.Repeated || out.Revision != 2 {
+		t.Errorf("a change from before the snapshot: %+v", out)
+	}
+	cut := s.(state)[:len(s.(state))-1]
+	if err := newMachine(rollout.Terms{}).Restore(io.NopCloser(bytes.NewReader(cut))); err == nil {
+		t.Error("a snapshot that is cut off is read")
+	}
+}
+
+// A damaged entry is known as such, and isn't passed over.
+func TestDamagedEntry(t *testing.T) {
+	l := entry(t, 1, changing("a", 0, "1"))
+	for _, c := range []struct {
+		data []byte
+		err  string
+	}{
+		{l.Data[:3], "cut off"},
+		{append([]byte{9}, l.Data[1:]...), "format 9"},
+		{append(slices.Clone(l.Data[:len(l.Data)-1]), '!'), "checksum"},
+	} {
+		if err := checkCommand(c.data); err == nil || !strings.Contains(err.Error(), c.err) {
+			t.Errorf("%v, want %q", err, c.err)
+		}
+		store := raft.NewInmemStore()
+		if err := store.StoreLog(&raft.Log{Index: 1, Type: raft.LogCommand, Data: c.data}); err != nil {
+			t.Fatal(err)
+		}
+		if err := (checkedLog{store}).GetLog(1, new(raft.Log)); err == nil {
+			t.Error("a damaged entry is given out")
+		}
+		func() {
+			defer func() {
+				if recover() == nil {
+					t.Errorf("%q: passed over", c.err)
+				}
+			}()
+			newMachine(rollout.Terms{}).Apply(&raft.Log{Index: 1, Data: c.data})
+		}()
+	}
+	if err := (checkedLog{raft.NewInmemStore()}).GetLog(7, new(raft.Log)); err != raft.ErrLogNotFound {
+		t.Errorf("raft compares %v with %v", err, raft.ErrLogNotFound)
+	}
+}
+
+// What raft says comes into our log with its level, fields and formats.
+func TestRaftSpeaksToOurLog(t *testing.T) {
+	var out bytes.Buffer
+	l := raftLog{to: slog.New(slog.NewTextHandler(&out, nil)), name: "raft"}
+	l.Debug("not heard")
+	l.Named("x").With("peer", "k2").Warn("heard", "list", hclog.Fmt("%+v", []int{1, 2}))
+	if text := out.String(); strings.Contains(text, "not heard") || !strings.Contains(text, "level=WARN msg=heard peer=k2 list=\"[1 2]\"") {
+		t.Error(text)
+	}
+}
+
+// The list of keepers as it is typed.
+func TestPeersAreRead(t *testing.T) {
+	peers, err := ParsePeers("k1=h1:1/h1:2,k2=[::1]:1/[::1]:2")
+	if err != nil || len(peers) != 2 || peers[1] != (Peer{ID: "k2", Raft: "[::1]:1", HTTP: "[::1]:2"}) {
+		t.Error(peers, err)
+	}
+	six := "a=h:1/h:2,b=h:1/h:2,c=h:1/h:2,d=h:1/h:2,e=h:1/h:2,f=h:1/h:2"
+	for _, c := range []struct{ text, err string }{
+		{"", `--peers: ""`}, {"k1", `"k1"`}, {"k1=h:1", `"k1=h:1"`}, {"=h:1/h:2", "--peers"}, {"k1=h:1/h:0", "k1: "}, {"k1=:1/h:1", "k1: "},
+		{"k1=h:1/h:2,k1=h:1/h:2", "k1 is named twice"}, {"k 1=h:1/h:2", `id "k 1"`}, {six, "6 keepers"},
+	} {
+		peers, err := ParsePeers(c.text)
+		if err == nil {
+			_, err = Options{ID: "k1", Dir: "d", HTTP: "h:1", Raft: "h:2", Peers: peers,
+				Check: func(map[string]json.RawMessage) *rollout.Fault { return nil }}.filled()
+		}
+		if err == nil || !strings.Contains(err.Error(), c.err) {
+			t.Errorf("%q: %v, want %q", c.text, err, c.err)
+		}
+	}
+}
--- /dev/null
+++ b/internal/keeper/many_test.go
@@ -0,0 +1,122 @@
+package keeper_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"flag"
+	"fmt"
+	"net/http"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"windflow/internal/decide/rollout"
+)
+
+var many = flag.Int("followers", 100, "followers of TestManyFollowers")
+
+// follow plays a router with the state machine that routers have, until ctx ends.
+func (g *group) follow(ctx context.Context, n int) {
+	f := rollout.NewFollower(fmt.Sprintf("r%03d", n), rollout.Instance(1, uint64(n+1)))
+	c := &http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{MaxIdleConnsPerHost: 1}}
+	defer c.CloseIdleConnections()
+	began := time.Now()
+	for ctx.Err() == nil {
+		to := g.members[f.Keeper(len(g.members))].options.HTTP
+		text, _ := json.Marshal(map[string]any{"wait_ms": 2000, "report": f.Ask()})
+		q, _ := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+to+"/v1/follow", bytes.NewReader(text))
+		var u rollout.Update
+		a, err := c.Do(q)
+		if err == nil {
+			switch a.StatusCode {
+			case http.StatusNoContent:
+				f.Unchanged()
+			case http.StatusOK:
+				if err = json.NewDecoder(a.Body).Decode(&u); err == nil {
+					var ok bool
+					if _, ok, err = f.Offer(u); ok {
+						f.Accept()
+					}
+				}
+			default:
+				err = fmt.Errorf("%s", a.Status)
+			}
+			_ = a.Body.Close()
+		}
+		if err == nil {
+			continue
+		}
+		lost := f.Lost(float64(time.Since(began).Milliseconds()), float64(n%16)/16)
+		select {
+		case <-ctx.Done():
+		case <-time.After(time.Duration(lost) * time.Millisecond):
+		}
+	}
+}
+
+// Followers come all at once; one after the other, changes are in force everywhere; a keeper dies, and its followers go on
+// at the others. With -followers 600 the figures of the design note.
+func TestManyFollowers(t *testing.T) {
+	g := started(t, 3, nil)
+	g.change(0, put("base", "/settings/over-share-worth", "1"))
+	ctx, stop := context.WithCancel(context.Background())
+	var all sync.WaitGroup
+	defer all.Wait()
+	defer stop()
+	from := time.Now()
+	for n := range *many {
+		all.Go(func() { g.follow(ctx, n) })
+	}
+	wait(t, "all on the roster", func() bool { return g.status(0).Roster == *many })
+	t.Logf("%d followers are on the roster after %v", *many, time.Since(from).Round(time.Millisecond))
+	look := func() (ticks int, in, out int64) {
+		for i := range g.members {
+			s := g.status(i)
+			ticks += cpuTicks(t, g.members[i].cmd.Process.Pid)
+			in, out = in+s.Counters["bytes_in"], out+s.Counters["bytes_out"]
+		}
+		return ticks, in, out
+	}
+	ticks, in, out := look()
+	from = time.Now()
+	var took []time.Duration
+	for n := range 10 {
+		sent := time.Now()
+		rev := g.change(n%3, put(fmt.Sprint("c", n), "/settings/over-share-worth", fmt.Sprint(n+2)))
+		v := g.everywhere(rev)
+		if len(v.InForce) != *many {
+			t.Fatalf("revision %d: in force at %d, gone %d, unreached %v", rev, len(v.InForce), len(v.Gone), v.Unreached)
+		}
+		took = append(took, time.Since(sent).Round(time.Millisecond))
+	}
+	moreTicks, moreIn, moreOut := look()
+	slices.Sort(took)
+	t.Logf("from the call to the verdict that it is everywhere: %v", took)
+	t.Logf("%.1f s: %.1f%% of a core at all keepers, %d bytes in and %d out for each follower", time.Since(from).Seconds(),
+		float64(moreTicks-ticks)/time.Since(from).Seconds(), (moreIn-in)/int64(*many), (moreOut-out)/int64(*many))
+	for i := range g.members {
+		t.Logf("%s: %d kB resident, %d calls held", g.members[i].options.ID, resident(t, g.members[i].cmd.Process.Pid), g.status(i).Counters["waiting"])
+	}
+	dead := g.leader()
+	g.kill(dead)
+	sent := time.Now()
+	rev := g.change((dead+1)%3, put("last", "/settings/over-share-worth", "99"))
+	v := g.everywhereAt((dead+1)%3, rev)
+	if len(v.InForce) != *many || !slices.Contains(v.Unreached, g.members[dead].options.ID) {
+		t.Errorf("in force at %d, gone %v, unreached %v", len(v.InForce), v.Gone, v.Unreached)
+	}
+	t.Logf("from the kill of the leader to the verdict that a change is everywhere: %v", time.Since(sent).Round(time.Millisecond))
+}
+
+func (g *group) everywhere(rev uint64) rolloutReply { g.t.Helper(); return g.everywhereAt(0, rev) }
+
+func (g *group) everywhereAt(i int, rev uint64) (v rolloutReply) {
+	g.t.Helper()
+	wait(g.t, fmt.Sprintf("revision %d everywhere", rev), func() bool {
+		v = g.verdict(i, fmt.Sprintf("revision=%d&wait_ms=10000", rev))
+		return v.Everywhere
+	})
+	return v
+}
--- /dev/null
+++ b/internal/keeper/process_test.go
@@ -0,0 +1,214 @@
+package keeper_test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"windflow/internal/decide/rollout"
+	"windflow/internal/keeper"
+)
+
+// processEnv holds the options of a keeper, as JSON: the test binary that finds it is that keeper.
+const processEnv = "WINDFLOW_TEST_KEEPER"
+
+// refusedPointer is the entry that the check of these keepers refuses.
+const refusedPointer = "/settings/rules/look-back-ns"
+
+func TestMain(m *testing.M) {
+	if text := os.Getenv(processEnv); text != "" {
+		if err := runKeeper(text); err != nil {
+			fmt.Fprintln(os.Stderr, "keeper:", err)
+			os.Exit(1)
+		}
+		os.Exit(0)
+	}
+	os.Exit(m.Run())
+}
+
+func runKeeper(text string) error {
+	var o keeper.Options
+	if err := json.Unmarshal([]byte(text), &o); err != nil {
+		return err
+	}
+	signal.Ignore(syscall.SIGXFSZ)
+	o.Log = slog.New(slog.NewTextHandler(os.Stderr, nil))
+	o.Check = func(entries map[string]json.RawMessage) *rollout.Fault {
+		if v, ok := entries[refusedPointer]; ok && string(v) == "-1" {
+			return &rollout.Fault{Kind: rollout.FaultInvalid, Pointer: refusedPointer, Reason: "is below zero"}
+		}
+		return nil
+	}
+	o.Ready = func(http string) {
+		f := os.NewFile(3, "ready")
+		_, _ = f.WriteString("ready " + http + "\n")
+		_ = f.Close()
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM)
+	defer stop()
+	return keeper.Run(ctx, o)
+}
+
+// process is one keeper of a group.
+type process struct {
+	t       *testing.T
+	options keeper.Options
+	env     []string
+	cmd     *exec.Cmd
+	ended   chan struct{}
+	logFile string
+}
+
+// launch starts the keeper without waiting for anything but its process.
+func (p *process) launch() (ready <-chan string) {
+	p.t.Helper()
+	o := p.options
+	o.Log, o.Check, o.Ready = nil, nil, nil
+	text, err := json.Marshal(plain(o))
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	r, w, err := os.Pipe()
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	log, err := os.OpenFile(p.logFile, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	p.cmd = exec.Command(os.Args[0])
+	p.cmd.Env = append(append(os.Environ(), processEnv+"="+string(text)), p.env...)
+	p.cmd.ExtraFiles = []*os.File{w}
+	p.cmd.Stderr, p.cmd.Stdout = log, log
+	if err := p.cmd.Start(); err != nil {
+		p.t.Fatal(err)
+	}
+	_ = w.Close()
+	_ = log.Close()
+	ended := make(chan struct{})
+	p.ended = ended
+	cmd := p.cmd
+	go func() {
+		_ = cmd.Wait()
+		close(ended)
+	}()
+	line := make(chan string, 1)
+	go func() {
+		text, _ := bufio.NewReader(r).ReadString('\n')
+		_ = r.Close()
+		line <- text
+	}()
+	return line
+}
+
+// plain leaves the fields out that have no JSON.
+func plain(o keeper.Options) map[string]any {
+	return map[string]any{"ID": o.ID, "Cluster": o.Cluster, "Dir": o.Dir, "HTTP": o.HTTP, "Raft": o.Raft, "Peers": o.Peers,
+		"Hold": o.Hold, "Lease": o.Lease, "Within": o.Within, "Waiting": o.Waiting, "Keep": o.Keep, "Snapshots": o.Snapshots, "SnapshotEvery": o.SnapshotEvery, "AcceptLoss": o.AcceptLoss}
+}
+
+// start starts the keeper and waits until it accepts calls.
+func (p *process) start() {
+	p.t.Helper()
+	ready := p.launch()
+	select {
+	case line := <-ready:
+		if line != "ready "+p.options.HTTP+"\n" {
+			<-p.ended
+			p.t.Fatalf("%s: no word of readiness but %q; %s", p.options.ID, line, p.said())
+		}
+	case <-time.After(patience):
+		p.t.Fatalf("%s is not ready; %s", p.options.ID, p.said())
+	}
+}
+
+// fails starts the keeper, and gives what it says when it ends by itself.
+func (p *process) fails() string {
+	p.t.Helper()
+	p.launch()
+	select {
+	case <-p.ended:
+	case <-time.After(patience):
+		p.t.Fatalf("%s goes on; %s", p.options.ID, p.said())
+	}
+	if p.cmd.ProcessState.Success() {
+		p.t.Fatalf("%s ended without an error", p.options.ID)
+	}
+	return p.said()
+}
+
+func (p *process) said() string {
+	text, _ := os.ReadFile(p.logFile)
+	if n := len(text) - 20000; n > 0 {
+		text = text[n:]
+	}
+	return string(text)
+}
+
+func (p *process) signal(s syscall.Signal) {
+	p.t.Helper()
+	if err := p.cmd.Process.Signal(s); err != nil {
+		p.t.Errorf("%s: signal %v: %v; %s", p.options.ID, s, err, p.said())
+	}
+}
+
+func (p *process) alive() bool {
+	select {
+	case <-p.ended:
+		return false
+	default:
+		return p.cmd != nil
+	}
+}
+
+// end sends a signal that ends the process, and waits for that.
+func (p *process) end(s syscall.Signal) {
+	p.t.Helper()
+	p.signal(s)
+	select {
+	case <-p.ended:
+	case <-time.After(patience):
+		_ = p.cmd.Process.Kill()
+		p.t.Fatalf("%s does not end; %s", p.options.ID, p.said())
+	}
+}
+
+// wait waits until a call gives true.
+func wait(t *testing.T, what string, done func() bool) {
+	t.Helper()
+	end := time.NewTimer(patience)
+	defer end.Stop()
+	again := time.NewTicker(10 * time.Millisecond)
+	defer again.Stop()
+	for !done() {
+		select {
+		case <-again.C:
+		case <-end.C:
+			t.Fatalf("not within %v: %s", patience, what)
+		}
+	}
+}
+
+// patience bounds what a test waits for anything; no test passes by waiting it out.
+const patience = 30 * time.Second
+
+func tempLog(t *testing.T, id string) string { return filepath.Join(t.TempDir(), id+".log") }
+
+func mustContain(t *testing.T, text string, parts ...string) {
+	t.Helper()
+	for _, part := range parts {
+		if !strings.Contains(text, part) {
+			t.Errorf("%q is not in %s", part, text)
+		}
+	}
+}
--- /dev/null
+++ b/internal/keeper/race_test.go
@@ -0,0 +1,5 @@
+//go:build race
+
+package keeper_test
+
+const raced = true
--- /dev/null
+++ b/internal/keeper/relay_test.go
@@ -0,0 +1,128 @@
+package keeper_test
+
+import (
+	"net"
+	"sync"
+	"testing"
+)
+
+// relay is a link from one keeper to another that can fall silent in each direction. What is held is passed on when the
+// link is back, as a network does that lost packets for a while.
+type relay struct {
+	listener net.Listener
+	target   string
+	mu       sync.Mutex
+	turned   *sync.Cond
+	silent   [2]bool // forth, back
+	closed   bool
+	conns    map[net.Conn]bool
+}
+
+const (
+	forth = 0
+	back  = 1
+)
+
+func newRelay(t *testing.T, listen, target string) *relay {
+	t.Helper()
+	l, err := net.Listen("tcp", listen)
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := &relay{listener: l, target: target, conns: map[net.Conn]bool{}}
+	r.turned = sync.NewCond(&r.mu)
+	go r.accept()
+	t.Cleanup(r.close)
+	return r
+}
+
+func (r *relay) accept() {
+	for {
+		c, err := r.listener.Accept()
+		if err != nil {
+			return
+		}
+		go r.join(c)
+	}
+}
+
+func (r *relay) join(c net.Conn) {
+	// A silent link lets no connection come about; the listener's queue has taken the caller's half.
+	if !r.pass(forth) {
+		_ = c.Close()
+		return
+	}
+	to, err := net.Dial("tcp", r.target)
+	if err != nil {
+		_ = c.Close()
+		return
+	}
+	if !r.keep(c, to) {
+		return
+	}
+	go r.pump(c, to, forth)
+	r.pump(to, c, back)
+}
+
+func (r *relay) keep(conns ...net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range conns {
+		if r.closed {
+			_ = c.Close()
+		}
+		r.conns[c] = true
+	}
+	return !r.closed
+}
+
+func (r *relay) pump(from, to net.Conn, way int) {
+	buf := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buf)
+		if !r.pass(way) {
+			break
+		}
+		if n > 0 {
+			if _, err := to.Write(buf[:n]); err != nil {
+				break
+			}
+		}
+		if err != nil {
+			break
+		}
+	}
+	_, _ = from.Close(), to.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.conns, from)
+	delete(r.conns, to)
+}
+
+// pass waits while a direction is silent; false once the relay is closed.
+func (r *relay) pass(way int) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for r.silent[way] && !r.closed {
+		r.turned.Wait()
+	}
+	return !r.closed
+}
+
+func (r *relay) hush(way int, silent bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.silent[way] = silent
+	r.turned.Broadcast()
+}
+
+func (r *relay) close() {
+	_ = r.listener.Close()
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.closed = true
+	for c := range r.conns {
+		_ = c.Close()
+	}
+	r.turned.Broadcast()
+}
