Read and fit measured slopes in a package of their own

Fit is least squares with the largest residual; a file with a missing, unknown or doubled field, fewer than four sizes, or a line that its points don't give is an error that names the place. Tests: the line is found again by a property test, every kind of fault is named.

--- /dev/null
+++ b/internal/capacity/slope.go
@@ -0,0 +1,217 @@
+// Package capacity reckons what a fleet of a given size asks of each role, from slopes that tests measured. It is pure: it
+// computes from the text of docs/capacity/slopes.json and docs/capacity/scale.json, and reads no files of its own.
+package capacity
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"math"
+	"slices"
+)
+
+// MinSizes is the least number of different sizes that a slope is measured at.
+const MinSizes = 4
+
+// Slope is a cost against a size, as a test measured it.
+type Slope struct {
+	Name       string  `json:"name"` // unique in the file; what rows refer to
+	Of         string  `json:"of"`   // whose cost: router, keeper, board
+	X          string  `json:"x"`    // the size, with its unit
+	Y          string  `json:"y"`    // the cost, with its unit
+	Points     Points  `json:"points"`
+	Intercept  float64 `json:"intercept"`        // of Fit, in the unit of Y
+	Slope      float64 `json:"slope"`            // of Fit, Y by X
+	Residual   float64 `json:"largest_residual"` // of Fit, in the unit of Y
+	Conditions string  `json:"conditions"`       // what else was the case: machine, other sizes, span
+	Test       string  `json:"test"`             // the test that measured it
+}
+
+// Points are pairs of x and y.
+type Points [][2]float64
+
+// At is the cost at a size, on the line; in the unit of Y.
+func (s Slope) At(x float64) float64 { return s.Intercept + s.Slope*x }
+
+// Largest is the largest size that was measured, in the unit of X.
+func (s Slope) Largest() float64 {
+	most := math.Inf(-1)
+	for _, p := range s.Points {
+		most = max(most, p[0])
+	}
+	return most
+}
+
+// Fit lays a line through points by least squares. The largest residual is the largest distance in y of a point from it, in
+// the unit of y. Points that are all at one x give a level line through their mean; no points give zeros.
+func Fit(points [][2]float64) (intercept, slope, largestResidual float64) {
+	if len(points) == 0 {
+		return 0, 0, 0
+	}
+	n, mx, my := float64(len(points)), 0.0, 0.0
+	for _, p := range points {
+		mx, my = mx+p[0]/n, my+p[1]/n
+	}
+	sxx, sxy := 0.0, 0.0
+	for _, p := range points {
+		sxx, sxy = sxx+(p[0]-mx)*(p[0]-mx), sxy+(p[0]-mx)*(p[1]-my)
+	}
+	if sxx > 0 {
+		slope = sxy / sxx
+	}
+	intercept = my - slope*mx
+	for _, p := range points {
+		largestResidual = max(largestResidual, math.Abs(p[1]-intercept-slope*p[0]))
+	}
+	return intercept, slope, largestResidual
+}
+
+// NewSlope fits points and checks the result as ParseSlopes does.
+func NewSlope(name, of, x, y string, points [][2]float64, conditions, test string) (Slope, error) {
+	s := Slope{Name: name, Of: of, X: x, Y: y, Points: points, Conditions: conditions, Test: test}
+	s.Intercept, s.Slope, s.Residual = Fit(points)
+	return s, s.check()
+}
+
+// check says what makes a slope unfit to reckon with.
+func (s Slope) check() error {
+	for _, k := range []struct{ field, value string }{{"name", s.Name}, {"of", s.Of}, {"x", s.X}, {"y", s.Y},
+		{"conditions", s.Conditions}, {"test", s.Test}} {
+		if k.value == "" {
+			return fmt.Errorf("%s: is empty", k.field)
+		}
+	}
+	var sizes []float64
+	for _, p := range s.Points {
+		sizes = append(sizes, p[0])
+	}
+	slices.Sort(sizes)
+	if n := len(slices.Compact(sizes)); n < MinSizes {
+		return fmt.Errorf("points: %d different sizes, want at least %d", n, MinSizes)
+	}
+	intercept, slope, residual := Fit(s.Points)
+	scale := 0.0 // of the figures that go into the fit, for what rounding may make of them
+	for _, p := range s.Points {
+		scale = max(scale, math.Abs(p[1]))
+	}
+	for _, k := range []struct {
+		field     string
+		got, want float64
+		unit      float64
+	}{{"intercept", s.Intercept, intercept, scale}, {"slope", s.Slope, slope, math.Abs(slope)},
+		{"largest_residual", s.Residual, residual, scale}} {
+		if !(math.Abs(k.got-k.want) <= 1e-6*k.unit) {
+			return fmt.Errorf("%s: is %v, the points give %v", k.field, k.got, k.want)
+		}
+	}
+	return nil
+}
+
+// ParseSlopes reads the text of slopes.json: a list of slopes with all fields and no others, each from at least MinSizes
+// sizes, with the fit that its points give, names unique. An error names the place in the list, the slope and the field.
+func ParseSlopes(text []byte) ([]Slope, error) {
+	var items []json.RawMessage
+	if err := json.Unmarshal(text, &items); err != nil {
+		return nil, fmt.Errorf("slopes: %w", err)
+	}
+	var slopes []Slope
+	for i, item := range items {
+		var s Slope
+		var named struct{ Name any }
+		_ = json.Unmarshal(item, &named) // for the place alone: what is wrong with the item is said below
+		err := fields(item, map[string]any{"name": &s.Name, "of": &s.Of, "x": &s.X, "y": &s.Y, "points": &s.Points,
+			"intercept": &s.Intercept, "slope": &s.Slope, "largest_residual": &s.Residual, "conditions": &s.Conditions, "test": &s.Test})
+		if err == nil {
+			err = s.check()
+		}
+		if err != nil {
+			return nil, fmt.Errorf("slopes[%d] %q: %w", i, fmt.Sprint(named.Name), err)
+		}
+		if slices.ContainsFunc(slopes, func(o Slope) bool { return o.Name == s.Name }) {
+			return nil, fmt.Errorf("slopes[%d] %q: name: is there twice", i, s.Name)
+		}
+		slopes = append(slopes, s)
+	}
+	return slopes, nil
+}
+
+// FormatSlopes is the text of slopes.json, sorted by name, so that a new measurement changes its own lines alone. Slopes
+// that ParseSlopes would not take are an error.
+func FormatSlopes(slopes []Slope) ([]byte, error) {
+	slopes = slices.SortedFunc(slices.Values(slopes), func(a, b Slope) int { return bytes.Compare([]byte(a.Name), []byte(b.Name)) })
+	var out bytes.Buffer
+	enc := json.NewEncoder(&out)
+	enc.SetEscapeHTML(false)
+	enc.SetIndent("", "  ")
+	if err := enc.Encode(slopes); err != nil {
+		return nil, fmt.Errorf("slopes: %w", err)
+	}
+	if _, err := ParseSlopes(out.Bytes()); err != nil {
+		return nil, err
+	}
+	return out.Bytes(), nil
+}
+
+// MergeSlopes puts fresh slopes in the place of those with their names, and beside the others.
+func MergeSlopes(old, fresh []Slope) []Slope {
+	out := slices.DeleteFunc(slices.Clone(old), func(s Slope) bool {
+		return slices.ContainsFunc(fresh, func(f Slope) bool { return f.Name == s.Name })
+	})
+	return append(out, fresh...)
+}
+
+// MarshalJSON writes a pair on each line.
+func (p Points) MarshalJSON() ([]byte, error) {
+	if p == nil {
+		return []byte("[]"), nil
+	}
+	return json.Marshal([][2]float64(p))
+}
+
+// UnmarshalJSON takes pairs only: the standard reading fills a short pair with zeros and drops what is too much.
+func (p *Points) UnmarshalJSON(text []byte) error {
+	var rows [][]float64
+	if err := json.Unmarshal(text, &rows); err != nil {
+		return err
+	}
+	*p = make(Points, len(rows))
+	for i, row := range rows {
+		if len(row) != 2 {
+			return fmt.Errorf("point %d has %d figures, want 2", i, len(row))
+		}
+		(*p)[i] = [2]float64(row)
+	}
+	return nil
+}
+
+// fields reads an object that has all of the fields wanted and no others.
+func fields(text []byte, want map[string]any) error {
+	var got map[string]json.RawMessage
+	if err := json.Unmarshal(text, &got); err != nil {
+		return err
+	}
+	for _, name := range sortedKeys(got) {
+		if want[name] == nil {
+			return fmt.Errorf("%s: is not known", name)
+		}
+	}
+	for _, name := range sortedKeys(want) {
+		value, ok := got[name]
+		if !ok || string(value) == "null" {
+			return fmt.Errorf("%s: is missing", name)
+		}
+		if err := json.Unmarshal(value, want[name]); err != nil {
+			return fmt.Errorf("%s: %w", name, err)
+		}
+	}
+	return nil
+}
+
+func sortedKeys[V any](m map[string]V) []string {
+	var keys []string
+	for k := range m {
+		keys = append(keys, k)
+	}
+	slices.Sort(keys)
+	return keys
+}
--- /dev/null
+++ b/internal/capacity/slope_test.go
@@ -0,0 +1,124 @@
+package capacity
+
+import (
+	"math"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+)
+
+// A line is found again from its points, with the noise that was added as the largest residual at most.
+func TestFitFindsTheLine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := rapid.Float64Range(-1e3, 1e3).Draw(t, "intercept"), rapid.Float64Range(-10, 10).Draw(t, "slope")
+		n := rapid.IntRange(4, 12).Draw(t, "points")
+		var points [][2]float64
+		for i := range n {
+			x := float64(i*100) + rapid.Float64Range(0, 90).Draw(t, "x")
+			points = append(points, [2]float64{x, a + b*x})
+		}
+		gotA, gotB, residual := Fit(points)
+		if math.Abs(gotA-a) > 1e-6 || math.Abs(gotB-b) > 1e-8 || residual > 1e-6 {
+			t.Fatalf("%v + %v x, residual %v; want %v + %v x", gotA, gotB, residual, a, b)
+		}
+		// No other line has a smaller sum of squares.
+		points[0][1] += 5
+		sum := func(a, b float64) (s float64) {
+			for _, p := range points {
+				s += (p[1] - a - b*p[0]) * (p[1] - a - b*p[0])
+			}
+			return s
+		}
+		gotA, gotB, residual = Fit(points)
+		least := sum(gotA, gotB)
+		for _, d := range [][2]float64{{1, 0}, {-1, 0}, {0, 0.01}, {0, -0.01}} {
+			if s := sum(gotA+d[0], gotB+d[1]); s < least {
+				t.Fatalf("%v beside %v", s, least)
+			}
+		}
+		if residual > 5 || residual == 0 {
+			t.Fatalf("largest residual %v of a point that is 5 off", residual)
+		}
+	})
+}
+
+func TestFitOfLittle(t *testing.T) {
+	for _, k := range []struct {
+		points [][2]float64
+		want   [3]float64
+	}{{nil, [3]float64{}}, {[][2]float64{{3, 4}}, [3]float64{4, 0, 0}}, {[][2]float64{{3, 4}, {3, 6}}, [3]float64{5, 0, 1}},
+		{[][2]float64{{0, 1}, {1, 2}, {2, 6}}, [3]float64{0.5, 2.5, 1}}} {
+		a, b, r := Fit(k.points)
+		if [3]float64{a, b, r} != k.want {
+			t.Errorf("%v: %v %v %v, want %v", k.points, a, b, r, k.want)
+		}
+	}
+}
+
+const oneSlope = `{"name":"n","of":"router","x":"engines","y":"ms","points":[[1,2],[2,4],[3,6],[4,8]],"intercept":0,"slope":2,"largest_residual":0,"conditions":"c","test":"T"}`
+
+// What is missing, unknown or wrong in the file is named with its place.
+func TestSlopesAreReadStrictly(t *testing.T) {
+	slopes, err := ParseSlopes([]byte("[" + oneSlope + "]"))
+	if err != nil || len(slopes) != 1 || slopes[0].At(10) != 20 || slopes[0].Largest() != 4 {
+		t.Fatal(slopes, err)
+	}
+	again, err := FormatSlopes(slopes)
+	if back, e := ParseSlopes(again); err != nil || e != nil || back[0].Test != "T" {
+		t.Error(string(again), err, e)
+	}
+	for _, k := range []struct{ old, new, want string }{
+		{`"of":"router",`, ``, `slopes[1] "m": of: is missing`},
+		{`"of":"router"`, `"of":null`, `slopes[1] "m": of: is missing`},
+		{`"of":"router"`, `"of":""`, `slopes[1] "m": of: is empty`},
+		{`"of":"router"`, `"of":"router","off":1`, `slopes[1] "m": off: is not known`},
+		{`"of":"router"`, `"of":7`, `slopes[1] "m": of: json: cannot unmarshal number`},
+		{`"name":"m"`, `"name":"n"`, `slopes[1] "n": name: is there twice`},
+		{`[4,8]`, `[3,6]`, `slopes[1] "m": points: 3 different sizes, want at least 4`},
+		{`[4,8]`, `[4]`, `slopes[1] "m": points: point 3 has 1 figures, want 2`},
+		{`[4,8]`, `[4,8,0]`, `slopes[1] "m": points: point 3 has 3 figures, want 2`},
+		{`"slope":2`, `"slope":2.1`, `slopes[1] "m": slope: is 2.1, the points give 2`},
+		{`"intercept":0`, `"intercept":1`, `slopes[1] "m": intercept: is 1, the points give 0`},
+		{`"largest_residual":0`, `"largest_residual":1`, `slopes[1] "m": largest_residual: is 1, the points give 0`},
+	} {
+		other := strings.Replace(oneSlope, `"name":"n"`, `"name":"m"`, 1)
+		text := strings.Replace(other, k.old, k.new, 1)
+		if text == other {
+			t.Fatal(k.old, "is not there")
+		}
+		if _, err := ParseSlopes([]byte("[" + oneSlope + "," + text + "]")); err == nil || !strings.HasPrefix(err.Error(), k.want) {
+			t.Errorf("%s: %v, want %s", k.new, err, k.want)
+		}
+	}
+	if _, err := ParseSlopes([]byte("{")); err == nil {
+		t.Error("half a file was read")
+	}
+}
+
+// A new measurement takes the place of the one with its name; what is unfit is not written.
+func TestSlopesMerge(t *testing.T) {
+	at := func(name string, y float64) Slope {
+		s, err := NewSlope(name, "router", "engines", "ms", [][2]float64{{1, y}, {2, y}, {3, y}, {4, y}}, "c", "T")
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	all := MergeSlopes([]Slope{at("a", 1), at("b", 2)}, []Slope{at("b", 3), at("c", 4)})
+	text, err := FormatSlopes(all)
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, err := ParseSlopes(text)
+	if err != nil || len(back) != 3 || back[0].Name != "a" || back[1].Intercept != 3 || back[2].Name != "c" {
+		t.Error(back, err)
+	}
+	if _, err := NewSlope("a", "router", "engines", "ms", [][2]float64{{1, 1}, {2, 2}}, "c", "T"); err == nil {
+		t.Error("a slope of two sizes")
+	}
+	all[0].Slope = 9
+	if _, err := FormatSlopes(all); err == nil {
+		t.Error("a slope that its points don't give was written")
+	}
+}
