Tell readiness on a descriptor, and test a fleet in small: real and hollow routers

A router that finds WINDFLOW_READY_FD in its environment writes one line there once it accepts, and closes it; without the variable nothing is written. internal/fleettest starts real routers of the built program and hollow ones (the real follower of the board and the real module, 60 to a process), a stand-in board from the frames that our follower reads, and links that cut, fall silent and delay for each direction. Its tests: a list change and a whole list reach 4 real and 60 hollow routers, through a cut of half of the links; a silent board is left; readiness means that clients are greeted.

--- /dev/null
+++ b/internal/fleettest/board.go
@@ -0,0 +1,291 @@
+package fleettest
+
+import (
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"windflow/brain"
+	"windflow/internal/board"
+)
+
+// Zones and Kinds are those of every fleet of the rig; records of the board point into them.
+var (
+	Zones = []string{"z0", "z1", "z2", "z3", "z4", "z5"}
+	Kinds = []string{"std"}
+)
+
+const (
+	// beat is how often a board sends a frame to a follower that there is nothing else for.
+	beat = time.Second
+	// keptEvents is how many events a board keeps for followers that come back; one that is further behind gets the whole
+	// list.
+	keptEvents = 256
+	// writeWithin is how long a follower may leave a frame unread before the board drops it.
+	writeWithin = 5 * time.Second
+
+	frameNothing, frameWhole, frameChanges = 0, 1, 2
+)
+
+// Engine is one of a stand-in board's list.
+type Engine struct {
+	ID      brain.EngineID
+	Addr    netip.AddrPort // IPv4
+	Zone    int            // in Zones
+	State   brain.EngineState
+	Started uint64 // Unix milliseconds
+}
+
+// Engines gives n engines, dealt over the zones in turn, at addresses where nobody is.
+func Engines(n int) []Engine {
+	list := make([]Engine, n)
+	for i := range list {
+		at := netip.AddrFrom4([4]byte{127, 200, byte(i >> 8), byte(i)})
+		list[i] = Engine{ID: brain.EngineID(i + 1), Addr: netip.AddrPortFrom(at, 1), Zone: i % len(Zones)}
+	}
+	return list
+}
+
+// Board is a stand-in for the notice board, written from the frames that our own follower reads (internal/board): a length,
+// an event's number, a kind, and records of 27 bytes. It serves hundreds of followers from their last event on.
+type Board struct {
+	Addr string
+
+	lis    net.Listener
+	mu     sync.Mutex
+	news   chan struct{} // closed and replaced with each event and each link that comes or goes
+	number uint64
+	list   map[brain.EngineID]Engine
+	order  []brain.EngineID
+	past   [][]byte // frames of the last events
+	links  map[net.Conn]bool
+
+	Linked atomic.Int64 // links ever
+	Sent   atomic.Int64 // bytes, without headers
+}
+
+// NewBoard starts a board with a list, which is event 1, and ends it with the test.
+func NewBoard(t testing.TB, engines []Engine) *Board {
+	t.Helper()
+	b, err := startBoard(engines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(b.Close)
+	return b
+}
+
+func startBoard(engines []Engine) (*Board, error) {
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	b := &Board{lis: lis, Addr: lis.Addr().String(), news: make(chan struct{}), list: map[brain.EngineID]Engine{},
+		links: map[net.Conn]bool{}}
+	b.event(frameWhole, engines)
+	go b.accept()
+	return b, nil
+}
+
+// Close ends the board and its links.
+func (b *Board) Close() {
+	_ = b.lis.Close()
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for c := range b.links {
+		_ = c.Close()
+	}
+}
+
+// Change tells of engines in one event, and gives its number.
+func (b *Board) Change(engines ...Engine) uint64 { return b.event(frameChanges, engines) }
+
+// Replace tells of a whole list, and gives the event's number.
+func (b *Board) Replace(engines []Engine) uint64 { return b.event(frameWhole, engines) }
+
+// Number is that of the last event.
+func (b *Board) Number() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.number
+}
+
+func (b *Board) event(kind byte, engines []Engine) uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.number++
+	if kind == frameWhole {
+		clear(b.list)
+		b.order = b.order[:0]
+	}
+	for _, e := range engines {
+		if _, known := b.list[e.ID]; !known {
+			b.order = append(b.order, e.ID)
+		}
+		b.list[e.ID] = e
+	}
+	if b.past = append(b.past, frame(b.number, kind, engines)); len(b.past) > 2*keptEvents {
+		b.past = append([][]byte(nil), b.past[keptEvents:]...)
+	}
+	b.changed()
+	return b.number
+}
+
+func (b *Board) changed() {
+	close(b.news)
+	b.news = make(chan struct{})
+}
+
+// frame is an event as it stands on the wire.
+func frame(number uint64, kind byte, engines []Engine) []byte {
+	out := binary.BigEndian.AppendUint32(make([]byte, 0, 13+27*len(engines)), uint32(9+27*len(engines)))
+	out = append(binary.BigEndian.AppendUint64(out, number), kind)
+	for _, e := range engines {
+		ip := e.Addr.Addr().As4()
+		out = append(binary.BigEndian.AppendUint32(out, uint32(e.ID)), ip[:]...)
+		out = binary.BigEndian.AppendUint16(out, e.Addr.Port())
+		out = append(out, byte(e.State), byte(e.Zone), 0)
+		out = binary.BigEndian.AppendUint16(out, uint16(e.Zone))
+		out = binary.BigEndian.AppendUint32(out, 1000)
+		out = binary.BigEndian.AppendUint64(out, e.Started)
+	}
+	return out
+}
+
+// since gives the frames that a follower lacks: those of its next events or, where it is new or far behind, the whole list.
+func (b *Board) since(last uint64) (frames [][]byte, now uint64, news chan struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	behind := b.number - last
+	switch {
+	case last > b.number || behind == 0:
+	case last == 0 || behind > uint64(len(b.past)):
+		list := make([]Engine, len(b.order))
+		for i, id := range b.order {
+			list[i] = b.list[id]
+		}
+		frames = [][]byte{frame(b.number, frameWhole, list)}
+	default:
+		frames = append(frames, b.past[len(b.past)-int(behind):]...)
+	}
+	return frames, max(b.number, last), b.news
+}
+
+func (b *Board) accept() {
+	for {
+		c, err := b.lis.Accept()
+		if err != nil {
+			return
+		}
+		go b.serve(c)
+	}
+}
+
+func (b *Board) serve(c net.Conn) {
+	defer c.Close()
+	var asked [8]byte
+	_ = c.SetReadDeadline(time.Now().Add(writeWithin))
+	if _, err := io.ReadFull(c, asked[:]); err != nil {
+		return
+	}
+	_ = c.SetReadDeadline(time.Time{})
+	b.Linked.Add(1)
+	b.link(c, true)
+	defer b.link(c, false)
+	gone := make(chan struct{})
+	go func() {
+		defer close(gone)
+		_, _ = io.Copy(io.Discard, c)
+	}()
+	last := binary.BigEndian.Uint64(asked[:])
+	pulse := time.NewTicker(beat)
+	defer pulse.Stop()
+	for {
+		frames, now, news := b.since(last)
+		for _, f := range frames {
+			if !b.write(c, f) {
+				return
+			}
+		}
+		last = now
+		select {
+		case <-news:
+		case <-gone:
+			return
+		case <-pulse.C:
+			if !b.write(c, frame(last, frameNothing, nil)) {
+				return
+			}
+		}
+	}
+}
+
+func (b *Board) write(c net.Conn, f []byte) bool {
+	_ = c.SetWriteDeadline(time.Now().Add(writeWithin))
+	n, err := c.Write(f)
+	b.Sent.Add(int64(n))
+	return err == nil
+}
+
+func (b *Board) link(c net.Conn, up bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if up {
+		b.links[c] = true
+	} else {
+		delete(b.links, c)
+	}
+	b.changed()
+}
+
+// AwaitLinks waits until as many followers are linked.
+func (b *Board) AwaitLinks(t testing.TB, n int) {
+	t.Helper()
+	late := time.NewTimer(Patience)
+	defer late.Stop()
+	for {
+		b.mu.Lock()
+		have, news := len(b.links), b.news
+		b.mu.Unlock()
+		if have == n {
+			return
+		}
+		select {
+		case <-news:
+		case <-late.C:
+			t.Fatalf("%d followers are linked to the board, want %d within %v", have, n, Patience)
+		}
+	}
+}
+
+// Known is a list as a router's configuration holds it, as event 1.
+func Known(engines []Engine) json.RawMessage {
+	phases := map[brain.EngineState]string{brain.Live: "active", brain.Draining: "leaving", brain.Gone: "left"}
+	type member struct {
+		ID       string  `json:"id"`
+		HostPort string  `json:"host_port"`
+		Locality string  `json:"locality"`
+		Flavor   string  `json:"flavor"`
+		Cell     int     `json:"cell"`
+		Phase    string  `json:"phase"`
+		Size     float64 `json:"size"`
+		UpSince  uint64  `json:"up_since_ms"`
+	}
+	members := make([]member, len(engines))
+	for i, e := range engines {
+		members[i] = member{board.FormatID(e.ID), e.Addr.String(), Zones[e.Zone], Kinds[0], e.Zone, phases[e.State], 1, e.Started}
+	}
+	text, err := json.Marshal(map[string]any{"rev": 1, "notices": []any{map[string]any{"rev": 1,
+		"pool": map[string]any{"revision": 1, "complete": true, "members": members}}}})
+	if err != nil {
+		panic(fmt.Sprint("a list that is no JSON: ", err))
+	}
+	return text
+}
--- /dev/null
+++ b/internal/fleettest/client.go
@@ -0,0 +1,129 @@
+package fleettest
+
+import (
+	"bufio"
+	"encoding/binary"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"testing"
+	"time"
+)
+
+// Client is a bare client of the MySQL protocol.
+type Client struct {
+	conn net.Conn
+	r    *bufio.Reader
+}
+
+// Dial connects and logs in.
+func Dial(addr string) (*Client, error) {
+	conn, err := net.DialTimeout("tcp", addr, Patience)
+	if err != nil {
+		return nil, err
+	}
+	c := &Client{conn: conn, r: bufio.NewReaderSize(conn, 512)}
+	_ = conn.SetDeadline(time.Now().Add(Patience))
+	login := binary.LittleEndian.AppendUint32(nil, 0x000fa20d)
+	login = append(append(login, 0, 0, 0, 1, 45), make([]byte, 23)...)
+	login = append(login, "app\x00\x00warehouse\x00mysql_native_password\x00"...)
+	if err = c.write(1, login); err == nil {
+		for range 2 { // the greeting, and OK
+			if _, err = c.packet(); err != nil {
+				break
+			}
+		}
+	}
+	if err != nil {
+		_ = conn.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// Close ends the connection.
+func (c *Client) Close() error { return c.conn.Close() }
+
+func (c *Client) write(seq byte, body []byte) error {
+	_, err := c.conn.Write(append([]byte{byte(len(body)), byte(len(body) >> 8), byte(len(body) >> 16), seq}, body...))
+	return err
+}
+
+func (c *Client) packet() ([]byte, error) {
+	var head [4]byte
+	if _, err := io.ReadFull(c.r, head[:]); err != nil {
+		return nil, err
+	}
+	body := make([]byte, int(head[0])|int(head[1])<<8|int(head[2])<<16)
+	_, err := io.ReadFull(c.r, body)
+	return body, err
+}
+
+// Ping asks for a sign of life.
+func (c *Client) Ping() error {
+	_ = c.conn.SetDeadline(time.Now().Add(Patience))
+	if err := c.write(0, []byte{14}); err != nil {
+		return err
+	}
+	p, err := c.packet()
+	if err == nil && (len(p) == 0 || p[0] != 0) {
+		err = fmt.Errorf("% x in place of OK", p[:min(len(p), 8)])
+	}
+	return err
+}
+
+// Ask sends a look-up with an id of its own and reads its whole answer. An error answer is an error.
+func (c *Client) Ask(id uint64) error {
+	_ = c.conn.SetDeadline(time.Now().Add(Patience))
+	text := fmt.Sprintf("/* method=lookup,rid=%016x,budget=5000 */ SELECT day, count(*) FROM sales_%02d.orders GROUP BY day", id, id%64)
+	if err := c.write(0, append([]byte{3}, text...)); err != nil {
+		return err
+	}
+	for ends := 0; ends < 2; {
+		p, err := c.packet()
+		switch {
+		case err != nil:
+			return err
+		case len(p) > 2 && p[0] == 0xff:
+			return fmt.Errorf("error %d: %s", binary.LittleEndian.Uint16(p[1:]), p[3:])
+		case len(p) > 0 && p[0] == 0xfe && len(p) < 9:
+			ends++
+		}
+	}
+	return nil
+}
+
+// EngineFarm is stand-ins for engines, each at an address of its own, that serve any statement with one row at once.
+type EngineFarm struct {
+	Engines []Engine
+	Ran     atomic.Int64 // statements
+}
+
+// NewEngines starts n engines until the test's end.
+func NewEngines(t testing.TB, n int) *EngineFarm {
+	t.Helper()
+	f := &EngineFarm{Engines: Engines(n)}
+	for i := range f.Engines {
+		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := &http.Server{Handler: f}
+		go func() { _ = s.Serve(lis) }()
+		t.Cleanup(func() { _ = s.Close() })
+		f.Engines[i].Addr = lis.Addr().(*net.TCPAddr).AddrPort()
+	}
+	return f
+}
+
+// ServeHTTP implements http.Handler: a POST brings a statement and is answered with its whole result.
+func (f *EngineFarm) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if r.Method == http.MethodPost {
+		_, _ = io.Copy(io.Discard, r.Body)
+		f.Ran.Add(1)
+	}
+	w.Header().Set("X-Parts", "1")
+	_, _ = io.WriteString(w, "a\tb\tc\n")
+}
--- /dev/null
+++ b/internal/fleettest/main_test.go
@@ -0,0 +1,5 @@
+package fleettest
+
+import "testing"
+
+func TestMain(m *testing.M) { Main(m) }
--- /dev/null
+++ b/internal/fleettest/relay_test.go
@@ -0,0 +1,94 @@
+package fleettest
+
+import (
+	"errors"
+	"io"
+	"net"
+	"os"
+	"testing"
+	"time"
+)
+
+// echo serves what it is sent back.
+func echo(t *testing.T) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = lis.Close() })
+	go func() {
+		for {
+			c, err := lis.Accept()
+			if err != nil {
+				return
+			}
+			go func() {
+				defer c.Close()
+				_, _ = io.Copy(c, c)
+			}()
+		}
+	}()
+	return lis.Addr().String()
+}
+
+func talk(c net.Conn, text string, within time.Duration) error {
+	if _, err := c.Write([]byte(text)); err != nil {
+		return err
+	}
+	_ = c.SetReadDeadline(time.Now().Add(within))
+	_, err := io.ReadFull(c, make([]byte, len(text)))
+	return err
+}
+
+// Links cut, fall silent, delay and count as the test says, in either direction.
+func TestRelay(t *testing.T) {
+	r := NewRelay(t, echo(t))
+	dial := func() net.Conn {
+		t.Helper()
+		c, err := net.Dial("tcp", r.Addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		return c
+	}
+	c := dial()
+	if err := talk(c, "hello", Patience); err != nil {
+		t.Fatal(err)
+	}
+	if up, down := r.Count(Up), r.Count(Down); up != (Traffic{5, 1}) || down != up {
+		t.Errorf("counted %+v up and %+v down", up, down)
+	}
+	if got, want := r.Wire(), int64(7*66+2*5+2*2*66); got != want {
+		t.Errorf("%d bytes with headers, want %d", got, want)
+	}
+	for _, d := range []Direction{Up, Down} {
+		r.Silence(d)
+		if err := talk(c, "a", 50*time.Millisecond); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Errorf("direction %d is silent, and yet: %v", d, err)
+		}
+		r.Mend()
+		_ = c.SetReadDeadline(time.Now().Add(Patience))
+		if _, err := io.ReadFull(c, make([]byte, 1)); err != nil {
+			t.Errorf("direction %d speaks again: %v", d, err)
+		}
+		r.Delay(d, 80*time.Millisecond)
+		from := time.Now()
+		if err := talk(c, "b", Patience); err != nil || time.Since(from) < 80*time.Millisecond {
+			t.Errorf("direction %d: %v after %v", d, err, time.Since(from))
+		}
+		r.Mend()
+	}
+	r.Cut()
+	if err := talk(c, "c", Patience); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a link that is cut: %v", err)
+	}
+	if err := talk(dial(), "d", Patience); err == nil || errors.Is(err, os.ErrDeadlineExceeded) {
+		t.Errorf("a new link where it is cut: %v", err)
+	}
+	r.Mend()
+	if err := talk(dial(), "e", Patience); err != nil {
+		t.Error("mended:", err)
+	}
+}
--- /dev/null
+++ b/internal/fleettest/router.go
@@ -0,0 +1,135 @@
+package fleettest
+
+import (
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"syscall"
+	"testing"
+)
+
+// Config is what differs between the routers of a rig; the rest is the platform's configuration of a plain site.
+type Config struct {
+	Name      string
+	Index     int    // of the router in its fleet
+	Routers   int    // of the fleet; 0: 1
+	Board     string // address
+	Engines   []Engine
+	Listen    string // empty: a free port on loopback
+	Sockets   int    // 0: 1024
+	MemoryMB  int    // 0: 192
+	Tenants   int
+	OverWorth float64        // over-share-worth; what reloads change
+	Own       map[string]any // sections of the installation's settings; nil: none
+}
+
+// Text is the configuration as the platform writes it.
+func (c Config) Text() []byte {
+	type object = map[string]any
+	class := func(name, semantics string, goal, deadline int, stretch, credit, late float64) object {
+		return object{"name": name, "semantics": semantics, "goal-time-ns": goal * 1_000_000, "deadline-ns": deadline * 1_000_000,
+			"aim-stretch": stretch, "credit": credit, "late-value": late}
+	}
+	parties := make([]object, c.Tenants)
+	for i := range parties {
+		parties[i] = object{"name": fmt.Sprintf("tenant-%05d", i), "quota-rps": 11.5, "share": 0.25}
+	}
+	or := func(n, usual int) int {
+		if n == 0 {
+			return usual
+		}
+		return n
+	}
+	text, err := json.Marshal(object{
+		"name": c.Name, "listen": c.Listen, "seed": fmt.Sprintf("%x", 0x1f+c.Index), "board": c.Board, "known": Known(c.Engines),
+		"limits": object{"cores": 1, "memory_mb": or(c.MemoryMB, 192), "sockets": or(c.Sockets, 1024)},
+		"settings": object{
+			"balancers": or(c.Routers, 1), "me": c.Index, "zone": Zones[c.Index%len(Zones)], "failure-domains": Zones, "kinds": Kinds,
+			"period-ns": 5_000_000, "parties": parties, "over-share-worth": c.OverWorth,
+			"classes": []object{class("lookup", "idempotent", 1000, 5000, 2, 1, 0),
+				class("report", "idempotent", 1500, 20000, 2.5, 10, 0.4), class("load", "at_most_once", 3000, 25000, 3, 7.5, 0.5)},
+			"limits": object{"attempts-cap": 5, "second-copies": true, "retry-after": true, "max-retry-after-ns": 2_000_000_000,
+				"connect-timeout-ns": 250_000_000, "conn-idle-ns": 30_000_000_000},
+			"rules": object{"cold-from": 0.36, "cold-ns": 12_000_000_000, "overload-factor": 2, "overload-for-ns": 1_500_000_000},
+			"specifics": object{"class-load": []bool{false, false, true}, "yields-to-loads": []bool{true, true, false},
+				"width-by-class": []int{1, 4, 2}, "cores-by-kind": []int{8}, "kind-memory-mb": []int{16384}, "max-grant-share": 0.4,
+				"grants-count": true, "priorities": true, "overbooked": "trim"},
+		}})
+	if err != nil {
+		panic(fmt.Sprint("a configuration that is no JSON: ", err))
+	}
+	return text
+}
+
+// Router is a process of the built program.
+type Router struct {
+	*Process
+	Config
+	path string
+}
+
+// The lines of a router's log that the rig waits for.
+const (
+	LineReloaded = "msg=reloaded"
+	LineRefused  = `msg="reload refused"`
+	LineEvent    = `msg="board event"`
+	LineLink     = `msg="board link up"`
+)
+
+// Router starts a router, and does not wait until it is ready.
+func (r *Rig) Router(c Config) *Router {
+	r.T.Helper()
+	if c.Listen == "" {
+		c.Listen = FreePort(r.T)
+	}
+	p := &Router{Config: c, path: filepath.Join(r.Dir, c.Name+".json")}
+	p.write(r.T)
+	cmd := exec.Command(filepath.Join(Programs(r.T), "windflow"))
+	if c.Own != nil {
+		text, err := json.Marshal(c.Own)
+		own := filepath.Join(r.Dir, c.Name+".own.json")
+		if err == nil {
+			err = os.WriteFile(own, text, 0o600)
+		}
+		if err != nil {
+			r.T.Fatal(err)
+		}
+		cmd.Args = append(cmd.Args, "--settings", own)
+	}
+	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+p.path)
+	p.Process = r.Start(c.Name, cmd, LineReloaded, LineRefused, LineEvent, LineLink)
+	return p
+}
+
+// write puts the configuration where the router reads it, whole at any time.
+func (p *Router) write(t testing.TB) {
+	t.Helper()
+	err := os.WriteFile(p.path+".new", p.Text(), 0o600)
+	if err == nil {
+		err = os.Rename(p.path+".new", p.path)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// Reload writes the configuration as it stands now and has the router read it; it does not wait.
+func (p *Router) Reload() {
+	p.rig.T.Helper()
+	p.write(p.rig.T)
+	p.Signal(syscall.SIGHUP)
+}
+
+// FreePort gives an address on loopback at which nobody listens now.
+func FreePort(t testing.TB) string {
+	t.Helper()
+	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer lis.Close()
+	return lis.Addr().String()
+}
--- a/internal/node/listeners.go
+++ b/internal/node/listeners.go
@@ -77,6 +77,9 @@
 		}
 	}
 	clear(r.idle)
+	if len(r.missing) == 0 {
+		r.tellReady()
+	}
 }
 
 // listenerFile gives a copy of a listener's descriptor.
