--- a/internal/fleettest/relay.go
+++ b/internal/fleettest/relay.go
@@ -187,14 +187,14 @@
 			if !r.pass(d) {
 				return
 			}
+			r.mu.Lock() // ahead of the write, so that who has got something finds it counted
+			r.count[d].Payload += int64(n)
+			r.count[d].Pieces += int64((n + segment - 1) / segment)
+			r.mu.Unlock()
 			if _, bad := to.Write(buf[:n]); bad != nil {
 				reset(from)
 				return
 			}
-			r.mu.Lock()
-			r.count[d].Payload += int64(n)
-			r.count[d].Pieces += int64((n + segment - 1) / segment)
-			r.mu.Unlock()
 		}
 		if err != nil {
 			if c, ok := to.(*net.TCPConn); ok {
