--- a/internal/fleettest/board.go
+++ b/internal/fleettest/board.go
@@ -265,7 +265,7 @@
 	}
 }
 
-// Known is a list as a router's configuration holds it, as event 1.
+// Known is a list as a router's configuration holds it, as event 1; without engines the router knows of no event yet.
 func Known(engines []Engine) json.RawMessage {
 	phases := map[brain.EngineState]string{brain.Live: "active", brain.Draining: "leaving", brain.Gone: "left"}
 	type member struct {
@@ -282,6 +282,9 @@
 	for i, e := range engines {
 		members[i] = member{board.FormatID(e.ID), e.Addr.String(), Zones[e.Zone], Kinds[0], e.Zone, phases[e.State], 1, e.Started}
 	}
+	if len(engines) == 0 {
+		return json.RawMessage(`{"rev":0,"notices":[]}`)
+	}
 	text, err := json.Marshal(map[string]any{"rev": 1, "notices": []any{map[string]any{"rev": 1,
 		"pool": map[string]any{"revision": 1, "complete": true, "members": members}}}})
 	if err != nil {
--- a/internal/fleettest/client.go
+++ b/internal/fleettest/client.go
@@ -12,18 +12,66 @@
 	"time"
 )
 
+// Meter counts what goes over connections, at their end in the test.
+type Meter struct{ payload, pieces, opened atomic.Int64 }
+
+// Wire is what went over them so far with headers, reckoned as Relay.Wire does.
+func (m *Meter) Wire() int64 {
+	return 7*headers*m.opened.Load() + m.payload.Load() + 2*headers*m.pieces.Load()
+}
+
+type meteredConn struct {
+	net.Conn
+	m *Meter
+}
+
+func (m *Meter) count(n int) {
+	m.payload.Add(int64(n))
+	m.pieces.Add(int64((n + segment - 1) / segment))
+}
+
+func (c meteredConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	c.m.count(n)
+	return n, err
+}
+
+func (c meteredConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.m.count(n)
+	return n, err
+}
+
+type meteredListener struct {
+	net.Listener
+	m *Meter
+}
+
+func (l meteredListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	l.m.opened.Add(1)
+	return meteredConn{c, l.m}, nil
+}
+
 // Client is a bare client of the MySQL protocol.
 type Client struct {
 	conn net.Conn
 	r    *bufio.Reader
 }
 
-// Dial connects and logs in.
-func Dial(addr string) (*Client, error) {
+// Dial connects and logs in; what goes over the connection is counted where there is a meter.
+func Dial(addr string, meter ...*Meter) (*Client, error) {
 	conn, err := net.DialTimeout("tcp", addr, Patience)
 	if err != nil {
 		return nil, err
 	}
+	for _, m := range meter {
+		m.opened.Add(1)
+		conn = meteredConn{conn, m}
+	}
 	c := &Client{conn: conn, r: bufio.NewReaderSize(conn, 512)}
 	_ = conn.SetDeadline(time.Now().Add(Patience))
 	login := binary.LittleEndian.AppendUint32(nil, 0x000fa20d)
@@ -99,6 +147,7 @@
 type EngineFarm struct {
 	Engines []Engine
 	Ran     atomic.Int64 // statements
+	Meter   Meter
 }
 
 // NewEngines starts n engines until the test's end.
@@ -111,7 +160,7 @@
 			t.Fatal(err)
 		}
 		s := &http.Server{Handler: f}
-		go func() { _ = s.Serve(lis) }()
+		go func() { _ = s.Serve(meteredListener{lis, &f.Meter}) }()
 		t.Cleanup(func() { _ = s.Close() })
 		f.Engines[i].Addr = lis.Addr().(*net.TCPAddr).AddrPort()
 	}
--- /dev/null
+++ b/internal/fleettest/slopes_board_test.go
@@ -0,0 +1,77 @@
+package fleettest
+
+import (
+	"encoding/binary"
+	"io"
+	"net"
+	"testing"
+	"time"
+)
+
+// links dials a board as many followers do, and reads what it sends, counted.
+func links(t *testing.T, addr string, n int) *Meter {
+	t.Helper()
+	m := &Meter{}
+	for range n {
+		c, err := net.DialTimeout("tcp", addr, Patience)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { _ = c.Close() })
+		if _, err := c.Write(binary.BigEndian.AppendUint64(nil, 1)); err != nil {
+			t.Fatal(err)
+		}
+		go func() { _, _ = io.Copy(io.Discard, struct{ io.Reader }{meteredConn{c, m}}) }()
+	}
+	return m
+}
+
+// What the board costs by routers and by changes. It is our stand-in that is measured: another board costs what it costs.
+func TestSlopesOfTheBoard(t *testing.T) {
+	rows, r := slopes(t), New(t)
+	const ours = "our stand-in board, in a process of its own, followed by bare links that read; 1,200 engines; 20 s"
+	sizes := []int{60, 150, 300, 600}
+	rates := []float64{0, 1, 10, 30}
+	for _, k := range []struct {
+		suffix, x string
+		n         int
+		of        func(i int) (routers int, aSecond float64)
+	}{{"by-routers", "routers", len(sizes), func(i int) (int, float64) { return sizes[i], 0 }},
+		{"by-routers-at-1-change", "routers", len(sizes), func(i int) (int, float64) { return sizes[i], 1 }},
+		{"by-changes", "list changes a second", len(rates), func(i int) (int, float64) { return 300, rates[i] }}} {
+		var all []*Process
+		var meters []*Meter
+		var x []float64
+		for i := range k.n {
+			b := r.BoardProcess(1200)
+			routers, aSecond := k.of(i)
+			meters, all = append(meters, links(t, b.Addr, routers)), append(all, b.Process)
+			if b.Rate(aSecond); k.x == "routers" {
+				x = append(x, float64(routers))
+			} else {
+				x = append(x, aSecond)
+			}
+		}
+		from := make([]int64, k.n)
+		for i, m := range meters {
+			from[i] = m.Wire()
+		}
+		began := time.Now()
+		cpu, mb := costs(span, all...)
+		var bytes []float64
+		for _, m := range meters {
+			bytes = append(bytes, float64(m.Wire()))
+		}
+		for i := range bytes {
+			bytes[i] = (bytes[i] - float64(from[i])) / time.Since(began).Seconds()
+		}
+		conditions := ours + map[string]string{"by-routers": "; no changes", "by-routers-at-1-change": "; one change of one engine a second",
+			"by-changes": "; 300 routers, one engine in each change"}[k.suffix]
+		rows.add("board-cpu-"+k.suffix, "board", k.x, percent, pairs(x, cpu), conditions)
+		rows.add("board-memory-"+k.suffix, "board", k.x, mega, pairs(x, mb), conditions)
+		rows.add("board-bytes-"+k.suffix, "board", k.x, rate, pairs(x, bytes), conditions)
+		for _, p := range all {
+			p.Kill()
+		}
+	}
+}
