Play a fleet with regions and machines restarted in a row, and see who is near to whom

Measured beside the share served: sends to cold engines, engines that were up and got nothing, the spread of sends over the mean.

--- a/brain/fleetengine_test.go
+++ b/brain/fleetengine_test.go
@@ -38,7 +38,7 @@
 	case x.late:
 		f.ended(x, ConnectFailed)
 		return
-	case e.silent, f.cut && (e.Zone == "z0") != (x.router.cfg.Instance%f.day.zones == 0):
+	case e.silent, f.cut && f.lost(e.Cell) != f.lost(x.router.cfg.Instance%f.day.zones):
 		// Most find no connection, some wait in vain on one that they had; a load is not given up so soon.
 		switch {
 		case f.rng.Float64() < 0.3 && x.router.cfg.Classes[x.class].Load:
@@ -228,7 +228,7 @@
 		own := rate * r.weight / sum
 		next = func() {
 			if f.now < time.Hour+d.lasts {
-				f.arrive(r)
+				f.arrive(f.upFor(r))
 				at := own
 				if t := f.now - time.Hour; d.burst > 0 && t > d.joinAt && t < d.joinAt+d.joinFor {
 					at *= d.burst
@@ -265,23 +265,14 @@
 
 func (f *fleet) troubles() {
 	d := f.day
-	for i, e := range f.engines {
+	for i := range f.engines {
 		if f.rng.Float64() >= d.join {
 			continue
 		}
-		f.after(d.joinAt+time.Duration(f.rng.Float64()*float64(d.joinFor)), func() {
-			e.State = Draining
-			f.announce(200*ms, e.Engine)
-			f.after(3*time.Second, func() { e.dead = true; f.lose(e); e.State = Gone; f.announce(200*ms, e.Engine) })
-			f.after(700*ms, func() {
-				fresh := f.addEngine(EngineID(1000+i), i)
-				fresh.Born = f.now
-				f.announce(800*ms, fresh.Engine)
-			})
-		})
+		f.after(d.joinAt+time.Duration(f.rng.Float64()*float64(d.joinFor)), func() { f.swap(i) })
 	}
 	for _, e := range f.engines {
-		if e.Zone != "z0" || !d.zone {
+		if !f.lost(e.Cell) || !d.zone || d.wide > 0 {
 			continue
 		}
 		f.after(d.joinAt, func() { e.silent = true; e.running = nil })
@@ -293,6 +284,7 @@
 			f.announce(300*ms, e.Engine)
 		})
 	}
+	f.wideTroubles()
 	if d.split {
 		f.after(d.joinAt, func() { f.cut = true })
 		f.after(d.joinAt+d.joinFor, func() { f.cut = false })
--- a/brain/fleetworld_test.go
+++ b/brain/fleetworld_test.go
@@ -27,6 +27,8 @@
 	told              time.Duration // how long after that lists say so; 0: never
 	split             bool          // a zone is cut off from the others for as long: its gateways reach its engines alone
 	joinAt, joinFor   time.Duration
+	wide              int     // that many zones are lost, or cut off from the others, with their gateways, and are told of in one list; 0: z0, its engines alone, each told of by itself
+	roll, replace     int     // gateways that are restarted, and engines that are replaced, in a row from joinAt on for joinFor
 	hasty             float64 // share of clients that give up early from joinAt on
 	burst             float64 // traffic between the two, over the usual
 	heavy             float64 // traffic of the first gateway, over the mean; 0: as it falls
@@ -75,6 +77,7 @@
 	cfg    Config
 	life   int
 	weight float64
+	down   bool
 	wake   time.Duration
 	open   map[RequestID]*fleetAsk
 }
@@ -138,6 +141,7 @@
 	fell    int
 	cut     bool    // zone z0 from the others
 	most    float64 // work sent to a cold engine in a window, over what it may be sent
+	sent    func(*fleetEngine)
 	beyond  float64 // the most of it past that, in calls of mean work, over 2 root of N + 2, N being what it may be sent
 }
 
@@ -206,6 +210,9 @@
 }
 
 func (f *fleet) tell(r *fleetRouter, ev Event) {
+	if r.down {
+		return
+	}
 	for _, a := range r.c.Handle(f.now, ev, nil) {
 		f.act(r, a)
 	}
@@ -240,6 +247,9 @@
 			threads: float64(r.cfg.Classes[q.class].Threads), prefer: q.prefer}
 		q.hops++
 		e := f.byID[a.Engine]
+		if f.sent != nil {
+			f.sent(e)
+		}
 		f.after(ms+f.dial(e, x, a.Begin), func() { f.reach(e, x) })
 	case Refuse:
 		f.span().refused++
