Play a rack that is drained or lost, and see when the last gateway's loads have moved

The last load at the old engines and the first elsewhere of the last gateway have to come within the 9 s of a change of primary.

--- a/brain/fleetwide_test.go
+++ b/brain/fleetwide_test.go
@@ -21,6 +21,9 @@
 		}
 		f.after(d.joinAt+d.joinFor, func() { f.zonesBack() })
 	}
+	if d.rack > 0 {
+		f.after(d.joinAt, func() { f.loseRack() })
+	}
 	for i := range d.roll {
 		f.after(d.joinAt+d.joinFor*time.Duration(i)/time.Duration(d.roll), func() { f.restart(f.routers[i%len(f.routers)]) })
 	}
@@ -42,6 +45,54 @@
 	})
 }
 
+// rack gives the engines and gateways of a rack, all in zone z0.
+func (f *fleet) rack() (engines []*fleetEngine, gateways []*fleetRouter) {
+	for i, e := range f.engines {
+		if e.Cell == 0 && i/f.day.zones < f.day.rack {
+			engines = append(engines, e)
+		}
+	}
+	for i, r := range f.routers {
+		if i%f.day.zones == 0 && i/f.day.zones < f.day.rack/2 {
+			gateways = append(gateways, r)
+		}
+	}
+	return engines, gateways
+}
+
+func (f *fleet) loseRack() {
+	engines, gateways := f.rack()
+	say := func(s EngineState) {
+		var list []Engine
+		for _, e := range engines {
+			e.State = s
+			list = append(list, e.Engine)
+		}
+		f.announce(200*ms, list...)
+	}
+	if f.day.drained {
+		say(Draining)
+		f.after(3*time.Second, func() {
+			for _, e := range engines {
+				e.dead = true
+				f.lose(e)
+			}
+			say(Gone)
+		})
+		return
+	}
+	for _, e := range engines {
+		e.silent, e.running = true, nil
+	}
+	for _, r := range gateways {
+		f.breakOff(r)
+		r.down = true
+	}
+	if f.day.told > 0 {
+		f.after(f.day.told, func() { say(Gone) })
+	}
+}
+
 func (f *fleet) loseZones() {
 	for _, e := range f.engines {
 		if f.lost(e.Cell) {
--- a/brain/fleetworld_test.go
+++ b/brain/fleetworld_test.go
@@ -28,6 +28,8 @@
 	split             bool          // a zone is cut off from the others for as long: its gateways reach its engines alone
 	joinAt, joinFor   time.Duration
 	wide              int     // that many zones are lost, or cut off from the others, with their gateways, and are told of in one list; 0: z0, its engines alone, each told of by itself
+	rack              int     // that many engines of z0, and half as many of its gateways, are lost at joinAt, or only the engines drained; told of as zones are
+	drained           bool    // the rack's engines are told of as draining at joinAt, and die 3 s later
 	roll, replace     int     // gateways that are restarted, and engines that are replaced, in a row from joinAt on for joinFor
 	hasty             float64 // share of clients that give up early from joinAt on
 	burst             float64 // traffic between the two, over the usual
@@ -141,7 +143,7 @@
 	fell    int
 	cut     bool    // zone z0 from the others
 	most    float64 // work sent to a cold engine in a window, over what it may be sent
-	sent    func(*fleetEngine)
+	sent    func(*fleetRouter, *fleetEngine, int)
 	beyond  float64 // the most of it past that, in calls of mean work, over 2 root of N + 2, N being what it may be sent
 }
 
@@ -248,7 +250,7 @@
 		q.hops++
 		e := f.byID[a.Engine]
 		if f.sent != nil {
-			f.sent(e)
+			f.sent(r, e, q.class)
 		}
 		f.after(ms+f.dial(e, x, a.Begin), func() { f.reach(e, x) })
 	case Refuse:
--- a/brain/scalefleet_test.go
+++ b/brain/scalefleet_test.go
@@ -33,6 +33,7 @@
 	served  float64 // least share of the worth, from joinAt on
 	after   float64 // least share of the worth in the last four seconds
 	short   bool    // it is played in CI too
+	over    float64 // seconds within which all loads have to have moved from what is lost
 	idle    int     // most engines that were up in a window and got nothing in it, over all windows
 	spread  float64 // most sends to one engine over the mean, over all windows of warm engines
 }
@@ -48,6 +49,7 @@
 			{name: "back, warm again", from: 21 * s, to: 25 * s}}
 	}
 	rolled := gateways * 430 / 600
+	rack := max(engines/50*2/3, 4) // of 50 in the fleet; a third of its machines are gateways
 	return []scaleDay{
 		{name: "calm", served: 0.98, after: 0.98, idle: 0, spread: 2, windows: []scaleWindow{{name: "calm", from: 3 * s, to: 12 * s}},
 			day: make(func(d *fleetDay) { d.bad, d.lasts = 0, 12*s })},
@@ -57,6 +59,12 @@
 			day: make(func(d *fleetDay) { lost(d); d.wide = 3 })},
 		{name: "region lost, back cold, a third less load", short: true, served: 0.8, after: 0.9, idle: 20, spread: 3, windows: lostWindows(),
 			day: make(func(d *fleetDay) { lost(d); d.wide, d.load = 3, 0.4 })},
+		{name: "rack drained", short: true, served: 0.95, after: 0.97, idle: 0, spread: 3, over: 9,
+			windows: []scaleWindow{{name: "without it", from: 6500 * ms, to: 12 * s}},
+			day:     make(func(d *fleetDay) { d.rack, d.drained, d.bad, d.lasts = rack, true, 0, 12*s })},
+		{name: "rack lost", short: true, served: 0.95, after: 0.97, idle: 0, spread: 3, over: 9,
+			windows: []scaleWindow{{name: "without it", from: 6500 * ms, to: 12 * s}},
+			day:     make(func(d *fleetDay) { d.rack, d.told, d.bad, d.lasts = rack, 2800*ms, 0, 12*s })},
 		{name: "regions apart, joined", served: 0.8, after: 0.9, idle: 0, spread: 3,
 			windows: []scaleWindow{{name: "apart", from: 4 * s, to: 11 * s}, {name: "joined", from: 13 * s, to: 18 * s}},
 			day:     make(func(d *fleetDay) { d.split, d.wide, d.joinFor, d.lasts = true, 3, 8*s, 18*s })},
@@ -106,8 +114,10 @@
 		t.Error("not a large fleet: another rule is played")
 	}
 	sends, cold := map[*fleetEngine]int{}, 0
-	f.sent = func(e *fleetEngine) {
+	moves := moved{f: f}
+	f.sent = func(r *fleetRouter, e *fleetEngine, class int) {
 		sends[e]++
+		moves.sent(r, e, f.routers[0].cfg.Classes[class].Load)
 		if f.warmth(e) < 1 {
 			cold++
 		}
@@ -115,6 +125,9 @@
 	for i := range d.windows {
 		f.watch(&d.windows[i], sends)
 	}
+	if d.over > 0 {
+		f.after(d.day.joinAt, moves.begin)
+	}
 	f.run()
 	took := time.Since(began)
 	from, to := int(d.day.joinAt/time.Second), int(d.day.lasts/time.Second)
@@ -136,6 +149,9 @@
 		}
 		t.Logf("%s: %d engines, %d idle, most %.2f of the mean, deviation %.2f of it", w.name, len(w.counted), idle, spread, deviation)
 	}
+	if d.over > 0 {
+		moves.end(t, d.over, figures)
+	}
 	if served < d.served || after < d.after {
 		t.Errorf("%.3f of the worth was served and %.3f at the end, want %.2f and %.2f", served, after, d.served, d.after)
 	}
