Reckon the rows of the capacity page, and check a page against them

The check recomputes each row of a page's tables and fails on a figure, budget or source that differs, on a budget that is passed, a gap or an extrapolation past four times the largest size measured that the row does not say, on a row without a mechanism whose package exists. Eighteen spoilt pages show that each is caught.

--- a/brain/scalefleet_test.go
+++ b/brain/scalefleet_test.go
@@ -103,7 +103,7 @@
 		}
 	})
 	if full && !t.Failed() {
-		writeScale(t, results)
+		writeScale(t, slices.DeleteFunc(results, func(s capacity.Scale) bool { return s.Name == "" })) // -run may leave some out
 	}
 }
 
@@ -137,7 +137,7 @@
 		total, fulls = total+s.sends, fulls+s.fulls
 	}
 	figures := map[string]float64{"served": served, "served_at_end": after, "sends": float64(total), "answered_full": float64(fulls),
-		"sends_to_cold": float64(cold), "most_to_cold_of_what_it_may": f.most, "cold_fell": float64(f.fell),
+		"sends_to_cold": float64(cold), "sends_to_cold_share": float64(cold) / float64(total), "most_to_cold_of_what_it_may": f.most, "cold_fell": float64(f.fell),
 		"statements_per_second": float64(f.asked()) / d.day.lasts.Seconds(), "played_seconds": d.day.lasts.Seconds()}
 	for _, w := range d.windows {
 		idle, spread, deviation := spreadOf(w.counted)
--- a/brain/scalenear_test.go
+++ b/brain/scalenear_test.go
@@ -59,6 +59,11 @@
 			t.Errorf("%s: %d engines, %d that nobody is near to, want at most %d; most %.2f of the mean, want at most %.2f", k.name, len(left), idle, k.idle, most, k.most)
 		}
 		t.Logf("%s: %d engines, %d idle, most %.2f of the mean, deviation %.2f", k.name, len(left), idle, most, deviation)
+		places := 0.0
+		for _, n := range counts {
+			places += n
+		}
+		figures[k.name+": routers near an engine"] = places / float64(len(left))
 		figures[k.name+": engines"], figures[k.name+": idle"], figures[k.name+": most over mean"] = float64(len(left)), float64(idle), math.Round(1000*most)/1000
 	}
 	places, moved := 0, 0
--- /dev/null
+++ b/internal/capacity/page_test.go
@@ -0,0 +1,196 @@
+package capacity
+
+import (
+	"flag"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+var update = flag.Bool("update", false, "write the tables of docs/CAPACITY.md anew from slopes.json and scale.json")
+
+const root = "../.."
+
+func read(t *testing.T, path ...string) []byte {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join(append([]string{root}, path...)...))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return text
+}
+
+func measured(t *testing.T) Measured {
+	t.Helper()
+	slopes, err := ParseSlopes(read(t, "docs", "capacity", "slopes.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	scales, err := ParseScales(read(t, "docs", "capacity", "scale.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Measured{slopes, scales}
+}
+
+func packageExists(path string) bool {
+	files, err := filepath.Glob(filepath.Join(root, path, "*.go"))
+	return err == nil && len(files) > 0
+}
+
+// The page is what the measurements give: each figure, what is said of it, and what carries it.
+func TestCapacityPage(t *testing.T) {
+	m := measured(t)
+	path := filepath.Join(root, "docs", "CAPACITY.md")
+	page := string(read(t, "docs", "CAPACITY.md"))
+	if *update {
+		fresh, err := m.Update(page, Scenarios())
+		if err == nil {
+			err = os.WriteFile(path, []byte(fresh), 0o644)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		page = fresh
+	}
+	for _, fault := range m.Check(page, Scenarios(), packageExists) {
+		t.Error(fault)
+	}
+	count := map[string]int{}
+	for _, s := range Scenarios() {
+		for _, r := range s.Rows {
+			word, _, _ := strings.Cut(r.Says(m.Reckon(r)), " ")
+			count[strings.Trim(word, ",;:")]++
+		}
+	}
+	t.Log(count)
+	if t.Failed() {
+		t.Log("go test ./internal/capacity -update writes the tables anew")
+	}
+}
+
+// Rows refer to slopes and days by name: two rows in one table may not have one name, and each has terms.
+func TestRowsAreWhole(t *testing.T) {
+	for _, s := range Scenarios() {
+		seen := map[string]bool{}
+		for _, r := range s.Rows {
+			id := s.Key + ", " + r.Role + ": " + r.What
+			if seen[id] || r.Role == "" || r.What == "" || len(r.Terms) == 0 || strings.Contains(id+r.Mechanism, "|") {
+				t.Error(id, "is there twice, has an empty field, or a bar")
+			}
+			seen[id] = true
+		}
+	}
+}
+
+// example is a small page of known measurements: a slope of 2 a router from 100 to 400, and a day of 600 routers.
+func example(t *testing.T) (Measured, []Scenario, string) {
+	t.Helper()
+	s, err := NewSlope("a", "router", "routers", "ms", [][2]float64{{100, 210}, {200, 410}, {300, 610}, {400, 810}}, "c", "T")
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := Measured{[]Slope{s}, []Scale{{Name: "day", Routers: Routers, Engines: Engines, Zones: Zones, Figures: map[string]float64{"served": 0.987}, Conditions: "c", Test: "T"}}}
+	row := func(what string, budget float64, terms ...Term) Row {
+		return Row{Role: "router", What: what, Unit: "ms", Budget: budget, Terms: terms, Mechanism: "a loop", Packages: []string{"brain"}}
+	}
+	rows := []Scenario{{"one", []Row{row("within", 900, Line("a", 400)), row("over", 900, Line("a", 450)), row("far", 0, Line("a", 1601)),
+		row("rise", 0, Rise("a", 400).By(0.5)), row("missing", 5, Line("b", 1)), row("day", 1, Played("day", "served")), row("size", 0, Given(12345.6, "sum"))}}}
+	page, err := m.Update("head\n"+beginMark+"one"+markTail+"\nold\n"+endMark+"\ntail\n", rows)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return m, rows, page
+}
+
+func TestTableOfKnownMeasurements(t *testing.T) {
+	m, rows, page := example(t)
+	want := `head
+<!-- capacity: one -->
+| role | what | figure | budget | says | from | carried by |
+| --- | --- | --- | --- | --- | --- | --- |
+| router | within | 810 ms | 900 ms | measured | ` + "`a`" + ` at 400 | a loop ` + "`brain`" + ` |
+| router | over | 910 ms | 900 ms | reckoned, at 1.13 times the largest size measured; over its budget | ` + "`a`" + ` at 450 | a loop ` + "`brain`" + ` |
+| router | far | 3,210 ms | - | extrapolated to 4 times the largest size measured | ` + "`a`" + ` at 1,600 | a loop ` + "`brain`" + ` |
+| router | rise | 400 ms | - | reckoned | rise of ` + "`a`" + ` by 400 × 0.5 | a loop ` + "`brain`" + ` |
+| router | missing | - | 5 ms | unmeasured: b | ` + "`b`" + ` at 1 | a loop ` + "`brain`" + ` |
+| router | day | 0.987 ms | 1 ms | played | day ` + "`day`, `served`" + ` | a loop ` + "`brain`" + ` |
+| router | size | 12,300 ms | - | given | sum | a loop ` + "`brain`" + ` |
+<!-- /capacity -->
+tail
+`
+	if page != want {
+		t.Errorf("%s\nwant\n%s", page, want)
+	}
+	if faults := m.Check(page, rows, packageExists); len(faults) > 0 {
+		t.Error(faults)
+	}
+}
+
+// The check catches each kind of fault that it is there for, and says where it is.
+func TestCheckCatches(t *testing.T) {
+	for _, k := range []struct{ name, old, new, want string }{
+		{"a wrong figure", "810 ms", "801 ms", `one, router: within: the figure is "801 ms", the measurements give "810 ms"`},
+		{"another unit", "810 ms", "810 s", `the figure is "810 s"`},
+		{"another budget", "900 ms | measured", "950 ms | measured", `the budget is "950 ms", it was set to "900 ms"`},
+		{"an unsaid overrun", "; over its budget", "", `one, router: over: is over its budget and does not say so`},
+		{"an overrun on the page alone", "810 ms", "910 ms", `one, router: within: is over its budget and does not say so`},
+		{"an unsaid extrapolation", "extrapolated to 4 times the largest size measured", "measured", `one, router: far: is extrapolated to 4 times the largest size measured and does not say so`},
+		{"an unsaid gap", "unmeasured: b", "measured", `one, router: missing: is unmeasured (b) and does not say so`},
+		{"a reckoned figure called measured", "| reckoned |", "| measured |", `one, router: rise: says "measured", want "reckoned"`},
+		{"another source", "`a` at 400 |", "`a` at 100 |", `one, router: within: is said to come from "` + "`a` at 100"},
+		{"a row without its mechanism", "a loop `brain` |\n| router | over", "|\n| router | over", `one, router: within: names no mechanism with its package`},
+		{"a row that is missing", "| router | size |", "| router | sizes |", `one, router: size: is not on the page`},
+		{"a row that nothing defines", "| router | size |", "| router | sizes |", `one, router: sizes: no row is defined for it`},
+		{"a row twice", "| router | over |", "| router | within |", `one, router: within: is there twice`},
+		{"a cell too few", "| played ", "", `one, line 8: 6 cells, want 7`},
+		{"another head", "| role |", "| who |", `one: the table's head is not role`},
+		{"a table under another name", "capacity: one", "capacity: two", `table "two": no rows are defined for it`},
+		{"a table that is missing", "capacity: one", "capacity: two", `table "one": is not on the page`},
+		{"a table without its end", "<!-- /capacity -->\n", "", `table "one": has no end`},
+	} {
+		t.Run(k.name, func(t *testing.T) {
+			m, rows, page := example(t)
+			spoilt := strings.Replace(page, k.old, k.new, 1)
+			if spoilt == page {
+				t.Fatal(k.old, "is not on the page")
+			}
+			faults := strings.Join(m.Check(spoilt, rows, packageExists), "\n")
+			if !strings.Contains(faults, k.want) {
+				t.Errorf("%q, want %q", faults, k.want)
+			}
+		})
+	}
+}
+
+// What the measurements or the rows change, the page that stayed as it was is caught on.
+func TestCheckCatchesANewMeasurement(t *testing.T) {
+	m, rows, page := example(t)
+	m.Slopes[0].Slope = 2.5
+	if faults := m.Check(page, rows, packageExists); !strings.Contains(strings.Join(faults, "\n"), `within: is over its budget and does not say so`) {
+		t.Error(faults)
+	}
+	m, rows, page = example(t)
+	m.Scales[0].Routers = Routers / 5
+	if faults := m.Check(page, rows, packageExists); !strings.Contains(strings.Join(faults, "\n"), `day: is extrapolated to 5 times the largest size measured and does not say so`) {
+		t.Error(faults)
+	}
+	m, rows, page = example(t)
+	rows[0].Rows[0].Mechanism, rows[0].Rows[1].Packages = "", []string{"internal/nowhere"}
+	faults := strings.Join(m.Check(page, rows, packageExists), "\n")
+	if !strings.Contains(faults, "within: names no mechanism with its package") || !strings.Contains(faults, "over: there is no package internal/nowhere") {
+		t.Error(faults)
+	}
+}
+
+func TestNumbers(t *testing.T) {
+	for _, k := range []struct {
+		x    float64
+		want string
+	}{{0, "0"}, {0.012345, "0.0123"}, {0.1, "0.1"}, {1.005, "1"}, {2.345, "2.35"}, {99.96, "100"}, {999.6, "1,000"}, {1234567, "1,230,000"}, {-1234, "-1,230"}, {600, "600"}, {128, "128"}} {
+		if got := number(k.x); got != k.want {
+			t.Errorf("%v: %s, want %s", k.x, got, k.want)
+		}
+	}
+}
--- /dev/null
+++ b/internal/capacity/scale_test.go
@@ -0,0 +1,36 @@
+package capacity
+
+import (
+	"strings"
+	"testing"
+)
+
+const oneDay = `{"name":"n","routers":6,"engines":12,"zones":3,"figures":{"served":0.9},"conditions":"c","test":"T"}`
+
+// What is missing, unknown or wrong in the file is named with its place.
+func TestScalesAreReadStrictly(t *testing.T) {
+	days, err := ParseScales([]byte("[" + oneDay + "]"))
+	if err != nil || len(days) != 1 || days[0].Figures["served"] != 0.9 || days[0].Routers != 6 {
+		t.Fatal(days, err)
+	}
+	text, err := FormatScales(MergeScales(days, []Scale{{Name: "n", Routers: 1, Engines: 1, Zones: 1, Figures: map[string]float64{"a": 1}, Conditions: "c", Test: "T"}}))
+	if back, e := ParseScales(text); err != nil || e != nil || len(back) != 1 || back[0].Figures["a"] != 1 {
+		t.Error(string(text), err, e)
+	}
+	for _, k := range []struct{ old, new, want string }{
+		{`"zones":3,`, ``, `scales[0] "n": zones: is missing`},
+		{`"zones":3`, `"zones":3,"regions":2`, `scales[0] "n": regions: is not known`},
+		{`"zones":3`, `"zones":"x"`, `scales[0] "n": zones: json`},
+		{`"zones":3`, `"zones":0`, `scales[0] "n": routers, engines or zones: is below 1`},
+		{`{"served":0.9}`, `{}`, `scales[0] "n": figures: are none`},
+		{`"test":"T"`, `"test":""`, `scales[0] "n": name, conditions or test: is empty`},
+	} {
+		spoilt := strings.Replace(oneDay, k.old, k.new, 1)
+		if _, err := ParseScales([]byte("[" + spoilt + "]")); spoilt == oneDay || err == nil || !strings.HasPrefix(err.Error(), k.want) {
+			t.Errorf("%s: %v, want %s", k.new, err, k.want)
+		}
+	}
+	if _, err := ParseScales([]byte("[" + oneDay + "," + oneDay + "]")); err == nil || !strings.Contains(err.Error(), `scales[1] "n": name: is there twice`) {
+		t.Error(err)
+	}
+}
