--- a/brain/scalenear_test.go
+++ b/brain/scalenear_test.go
@@ -63,7 +63,7 @@
 		for _, n := range counts {
 			places += n
 		}
-		figures[k.name+": routers near an engine"] = places / float64(len(left))
+		figures[k.name+": routers near an engine"] = math.Round(1000*places/float64(len(left))) / 1000
 		figures[k.name+": engines"], figures[k.name+": idle"], figures[k.name+": most over mean"] = float64(len(left)), float64(idle), math.Round(1000*most)/1000
 	}
 	places, moved := 0, 0
