--- a/internal/capacity/row.go
+++ b/internal/capacity/row.go
@@ -153,7 +153,7 @@
 		words = append(words, saysUnmeasured+": "+strings.Join(f.Missing, ", "))
 	case f.Far > FarthestReckoned:
 		words = append(words, fmt.Sprintf("%s to %s times the largest size measured", saysExtrapolated, number(f.Far)))
-	case f.Far > 1:
+	case f.Far > 1.005: // sizes such as rates are measured as they came out, not to the last digit
 		words = append(words, fmt.Sprintf("%s, at %s times the largest size measured", saysReckoned, number(f.Far)))
 	case given:
 		words = append(words, saysGiven)
--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -57,8 +57,8 @@
 
 var (
 	onList     = []string{"internal/board", "brain"}
-	onConfig   = []string{"internal/decide/rollout", "internal/follow"}
-	byKeepers  = []string{"internal/decide/rollout", "internal/keeper", "cmd/windflowkeeper"}
+	onConfig   = []string{"internal/settings", "internal/node"}
+	byKeepers  = []string{"internal/settings", "internal/node"}
 	onSessions = []string{"internal/mysql", "internal/netio"}
 	onRations  = []string{"internal/decide/ration", "brain"}
 	onRests    = []string{"internal/decide/rest", "brain"}
@@ -81,18 +81,28 @@
 			Mechanism: "buffers by need, bounded in sum", Packages: onSessions},
 		{Role: "router", What: "processor time of 2,000 sessions at rest", Unit: inPercent, Terms: []Term{Rise("router-cpu-by-sessions-at-rest", Sessions)},
 			Mechanism: "one poller for all, idle sessions closed by one timer each", Packages: onSessions},
-		{Role: "router", What: "processor time of 450 statements a second", Unit: inPercent, Terms: []Term{Rise("router-cpu-by-statements", Statements)},
+		{Role: "router", What: "processor time in all at 450 statements a second, 64 sessions", Unit: inPercent, Terms: []Term{Line("router-cpu-by-statements", Statements)},
 			Mechanism: "a decision that costs the same at any size of the fleet", Packages: []string{"brain", "internal/router"}},
+		{Role: "router", What: "processor time in all of 2,000 busy sessions, 450 statements a second", Unit: inPercent, Terms: []Term{Line("router-cpu-by-busy-sessions", Sessions)},
+			Mechanism: "one poller, one loop", Packages: []string{"internal/netio", "internal/router"}},
+		{Role: "router", What: "memory in all of 2,000 busy sessions, 450 statements a second", Unit: inMB, Terms: []Term{Line("router-memory-by-busy-sessions", Sessions)},
+			Mechanism: "buffers by need, bounded in sum", Packages: onSessions},
+		{Role: "router", What: "bytes of 450 statements a second, clients' and engines' links", Unit: inBytesASec, Terms: []Term{Line("router-bytes-by-statements", Statements)},
+			Mechanism: "one POST and its pages on one connection", Packages: []string{"internal/fetch", "internal/mysql"}},
 		{Role: "router", What: "a whole list of 1,200 engines", Unit: inBytes, Terms: []Term{Line("list-wire-bytes-by-engines", Engines)},
 			Mechanism: "records of fixed length, changes alone from then on", Packages: onList},
 		{Role: "router", What: "a whole configuration of 1,000 tenants as a file", Unit: inBytes, Terms: []Term{Line("configuration-bytes-by-tenants", Tenants)},
 			Mechanism: "read at the start and on SIGHUP; by revision only what changed", Packages: []string{"internal/settings", "internal/node"}},
 		{Role: "board", What: "links held", Terms: []Term{Given(Routers, "one of each router")},
 			Mechanism: "one follower in a router, which comes back with its last event", Packages: []string{"internal/board"}},
+		{Role: "board", What: "memory, our stand-in of one", Unit: inMB, Terms: []Term{Line("board-memory-by-routers", Routers)},
+			Mechanism: "one frame for all followers", Packages: []string{"internal/board"}},
 		{Role: "control machine", What: "machines used", Budget: ControlMachines, Terms: []Term{Given(ControlMachines, "a keeper on each")},
 			Mechanism: "replicated log, any keeper serves", Packages: byKeepers},
 		{Role: "control machine", What: "a keeper's memory with 600 followers", Unit: inMB, Terms: []Term{Line("keeper-memory-by-followers", Routers)},
 			Mechanism: "the content once, the past bounded in revisions and bytes, a lease a follower", Packages: byKeepers},
+		{Role: "engine", What: "statements a second of all engines in the days played, of 270,000", Terms: []Term{Played("calm", "statements_per_second")},
+			Mechanism: "the fleet's world of the module's tests", Packages: []string{"brain"}},
 		{Role: "engine", What: "statements a second, mean", Terms: []Term{Given(Routers*Statements/Engines, "270,000 over 1,200")},
 			Mechanism: "near sets dealt out evenly", Packages: onRations},
 		{Role: "engine", What: "statements a second, the most loaded", Terms: []Term{Played("calm", "calm: most over mean").By(Routers * Statements / Engines)},
@@ -117,6 +127,9 @@
 		{Role: "router", What: "bytes for control, link to the board", Unit: inBytesASec, Budget: RouterBytes,
 			Terms:     []Term{Line("router-bytes-by-engines", Engines)},
 			Mechanism: "a beat a second and no lists", Packages: onList},
+		{Role: "router", What: "bytes for control, a whole file to each router for each change", Unit: inBytesASec, Budget: RouterBytes,
+			Terms:     []Term{Line("router-bytes-by-engines", Engines), Line("configuration-bytes-by-tenants", Tenants).By(changesASec)},
+			Mechanism: "files and signals, as without keepers", Packages: []string{"internal/settings", "internal/node"}},
 		{Role: "router", What: "bytes for control, with configuration by revision", Unit: inBytesASec, Budget: RouterBytes,
 			Terms:     []Term{Line("router-bytes-by-engines", Engines), Line("follower-bytes-by-configuration-changes", changesASec)},
 			Mechanism: "one long poll in 2 s, deltas alone", Packages: onConfig},
@@ -153,6 +166,10 @@
 		{Role: "control machine", What: "bytes of whole configurations to routers that restart, mean of the day", Unit: inBytesASec,
 			Terms:     []Term{Line("snapshot-bytes-by-tenants", Tenants).By(routersADay / day)},
 			Mechanism: "a copy on the follower's disk, a delta from there; a snapshot without one", Packages: byKeepers},
+		{Role: "board", What: "processor time at a change a second, a hundred times the day's mean", Unit: inPercent, Terms: []Term{Line("board-cpu-by-routers-at-1-change", Routers)},
+			Mechanism: "one frame for all followers", Packages: []string{"internal/board"}},
+		{Role: "board", What: "bytes at a change a second, a hundred times the day's mean", Unit: inBytesASec, Terms: []Term{Line("board-bytes-by-routers-at-1-change", Routers)},
+			Mechanism: "records of fixed length", Packages: []string{"internal/board"}},
 		{Role: "engine", What: "sends to cold ones, over all of a day of 430 in 15 s", Unit: inShare, Terms: []Term{Played("machines restarted and replaced in a row", "sends_to_cold_share")},
 			Mechanism: "rations that add up", Packages: onRations},
 		{Role: "engine", What: "the most sent to a cold one, over what it may be sent", Unit: inShare, Budget: 1, Terms: []Term{Played("machines restarted and replaced in a row", "most_to_cold_of_what_it_may")},
