--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -31,6 +31,7 @@
 	changesASec   = ChangesADay / day
 	burstASec     = 20.0 // changes of configuration
 	reloadsASec   = 2.0  // at most, by a follower's least gap of 500 ms
+	msAsPercent   = 0.1 // of a core, of a millisecond in one second
 	machines      = Routers + Engines
 	enginesADay   = Restarts * Engines / machines
 	routersADay   = Restarts - enginesADay
--- a/internal/capacity/rows_trouble.go
+++ b/internal/capacity/rows_trouble.go
@@ -6,8 +6,11 @@
 	news := func(engines float64) []Term { // of engines in one second, each in a change of its own
 		return []Term{Line("router-cpu-by-list-changes", engines)}
 	}
+	frame := func(engines float64) []Term { // of engines in one frame in that second
+		return []Term{Line("router-cpu-by-engines", Engines), Line("router-frame-cost-by-engines-told", engines).By(msAsPercent)}
+	}
 	return []Scenario{{"change of primary", []Row{
-		{Role: "router", What: "told: the last of 600 has an engine's change", Unit: inSeconds, Budget: PrimarySeconds, Terms: []Term{Line("board-told-ms-by-routers", Routers).By(0.001)},
+		{Role: "router", What: "told: the last of 600 has an engine's change, the most of 20", Unit: inSeconds, Budget: PrimarySeconds, Terms: []Term{Line("board-told-worst-ms-by-routers", Routers).By(0.001)},
 			Mechanism: "one frame for all followers", Packages: onList},
 		{Role: "router", What: "engines drained: last load at the old", Unit: inSeconds, Budget: PrimarySeconds, Terms: []Term{Played(drained, "last load at the old, s")},
 			Mechanism: "what is told of as draining gets nothing more, what waits for it is taken back", Packages: onList},
@@ -35,9 +38,17 @@
 	}}, {"zone", []Row{
 		{Role: "router", What: "processor time for control in the second in which a zone's 200 engines go or come, a change each", Unit: inPercent, Budget: RouterPercent, Terms: news(zoneEngines),
 			Mechanism: "changes of the list, not lists", Packages: onList},
-		{Role: "router", What: "the same, mean of the ten seconds around", Unit: inPercent, Budget: RouterPercent, Terms: news(zoneEngines / 10.0),
+		{Role: "router", What: "processor time for control in the second in which a zone's 200 engines go or come, in one frame", Unit: inPercent, Budget: RouterPercent, Terms: frame(zoneEngines),
+			Mechanism: "one pass over the list for a frame", Packages: onList},
+		{Role: "router", What: "processor time for control, a change each, mean of the ten seconds around", Unit: inPercent, Budget: RouterPercent, Terms: news(zoneEngines / 10.0),
 			Mechanism: "changes of the list, not lists", Packages: onList},
-		{Role: "router", What: "bytes for control in that second", Unit: inBytesASec, Budget: RouterBytes, Terms: []Term{Line("router-bytes-by-list-changes", zoneEngines)},
+		{Role: "router", What: "bytes for control in that second, in one frame", Unit: inBytesASec, Budget: RouterBytes,
+			Terms:     []Term{Line("router-bytes-by-engines", Engines), Line("router-frame-bytes-by-engines-told", zoneEngines)},
+			Mechanism: "records of fixed length, many in a frame", Packages: onList},
+		{Role: "router", What: "bytes for control, in one frame, mean of the ten seconds around", Unit: inBytesASec, Budget: RouterBytes,
+			Terms:     []Term{Line("router-bytes-by-engines", Engines), Line("router-frame-bytes-by-engines-told", zoneEngines).By(0.1)},
+			Mechanism: "records of fixed length, many in a frame", Packages: onList},
+		{Role: "router", What: "bytes for control in that second, a change each", Unit: inBytesASec, Budget: RouterBytes, Terms: []Term{Line("router-bytes-by-list-changes", zoneEngines)},
 			Mechanism: "records of fixed length, many in a frame", Packages: onList},
 		{Role: "router", What: "clients that come from a zone's routers, each", Terms: []Term{Given(zoneRouters*Sessions/float64(Routers-zoneRouters), "200,000 over 500")},
 			Mechanism: "bounded accepts, one poller", Packages: onSessions},
@@ -77,6 +88,11 @@
 			Mechanism: "a decision that costs the same at any size of the fleet", Packages: []string{"brain", "internal/router"}},
 		{Role: "router", What: "processor time for control in the second in which 600 engines go or come, a change each", Unit: inPercent, Budget: RouterPercent, Terms: news(Engines / Regions),
 			Mechanism: "changes of the list, not lists", Packages: onList},
+		{Role: "router", What: "processor time for control in the second in which 600 engines go or come, in one frame", Unit: inPercent, Budget: RouterPercent, Terms: frame(Engines / Regions),
+			Mechanism: "one pass over the list for a frame", Packages: onList},
+		{Role: "router", What: "bytes for control in that second, in one frame", Unit: inBytesASec, Budget: RouterBytes,
+			Terms:     []Term{Line("router-bytes-by-engines", Engines), Line("router-frame-bytes-by-engines-told", Engines/Regions)},
+			Mechanism: "records of fixed length, many in a frame", Packages: onList},
 		{Role: "engine", What: "warm ones without a send while the region is gone", Terms: []Term{Played(less, "lost and told: idle")},
 			Mechanism: "near sets dealt out anew", Packages: onRations},
 		{Role: "engine", What: "the most sends over the mean while the region is gone", Terms: []Term{Played(less, "lost and told: most over mean")},
