Weigh the ways to hand on configuration by what the slopes say

Sizes of messages are assumed, and said to be. What is not built says so in its row in the place of a package.

--- a/internal/capacity/page.go
+++ b/internal/capacity/page.go
@@ -33,6 +33,10 @@
 func (r Row) carriedBy() string {
 	s := r.Mechanism
 	for _, p := range r.Packages {
+		if p == NotBuilt {
+			s += " " + NotBuilt
+			continue
+		}
 		s += " `" + p + "`"
 	}
 	return s
@@ -185,7 +189,7 @@
 		fault("is said to be carried by %q, is by %q", got[6], want[6])
 	}
 	for _, p := range r.Packages {
-		if !packageExists(p) {
+		if (p != NotBuilt || len(r.Packages) > 1) && !packageExists(p) {
 			fault("there is no package %s", p)
 		}
 	}
--- a/internal/capacity/row.go
+++ b/internal/capacity/row.go
@@ -17,11 +17,14 @@
 	What      string // unique in its scenario and role
 	Unit      string
 	Terms     []Term
-	Budget    float64 // at most; 0: none is set
-	Mechanism string  // what carries it
-	Packages  []string
+	Budget    float64  // at most; 0: none is set
+	Mechanism string   // what carries it
+	Packages  []string // where that is; NotBuilt alone for what is weighed or to come
 }
 
+// NotBuilt stands in the place of packages where there are none yet.
+const NotBuilt = "(not built)"
+
 // Scenario is a table of the page.
 type Scenario struct {
 	Key  string // names the table's place on the page
@@ -36,6 +39,7 @@
 	scale, figure string
 	times         float64
 	why           string // of a given figure
+	assumed       bool
 }
 
 // Line is the cost at a size, by a slope's line.
@@ -50,6 +54,9 @@
 // Given is a figure that follows from the size alone, or that a page or a setting says.
 func Given(value float64, why string) Term { return Term{times: value, why: why} }
 
+// Assumed is a figure that nobody has measured and nothing says.
+func Assumed(value float64, why string) Term { return Term{times: value, why: why, assumed: true} }
+
 // By takes a term several times: per second for each event, or for each of several others.
 func (t Term) By(times float64) Term {
 	t.times *= times
@@ -137,20 +144,24 @@
 	saysReckoned     = "reckoned"
 	saysPlayed       = "played"
 	saysGiven        = "given"
+	saysAssumed      = "assumed"
 )
 
 // Says is the row's word on where its figure comes from, and on its budget.
 func (r Row) Says(f Figure) string {
 	var words []string
-	played := false
+	played, assumed := false, false
 	given := len(r.Terms) > 0
 	for _, t := range r.Terms {
 		played = played || t.scale != ""
+		assumed = assumed || t.assumed
 		given = given && t.why != ""
 	}
 	switch {
 	case len(f.Missing) > 0:
 		words = append(words, saysUnmeasured+": "+strings.Join(f.Missing, ", "))
+	case assumed:
+		words = append(words, saysAssumed)
 	case f.Far > FarthestReckoned:
 		words = append(words, fmt.Sprintf("%s to %s times the largest size measured", saysExtrapolated, number(f.Far)))
 	case f.Far > 1.005: // sizes such as rates are measured as they came out, not to the last digit
@@ -164,6 +175,9 @@
 	default:
 		words = append(words, saysReckoned)
 	}
+	if assumed && len(f.Missing) == 0 && f.Far > FarthestReckoned {
+		words = append(words, fmt.Sprintf("%s to %s times the largest size measured", saysExtrapolated, number(f.Far)))
+	}
 	if f.Over {
 		words = append(words, saysOver)
 	}
--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -31,7 +31,7 @@
 	changesASec   = ChangesADay / day
 	burstASec     = 20.0 // changes of configuration
 	reloadsASec   = 2.0  // at most, by a follower's least gap of 500 ms
-	msAsPercent   = 0.1 // of a core, of a millisecond in one second
+	msAsPercent   = 0.1  // of a core, of a millisecond in one second
 	machines      = Routers + Engines
 	enginesADay   = Restarts * Engines / machines
 	routersADay   = Restarts - enginesADay
@@ -58,8 +58,8 @@
 
 var (
 	onList     = []string{"internal/board", "brain"}
-	onConfig   = []string{"internal/settings", "internal/node"}
-	byKeepers  = []string{"internal/settings", "internal/node"}
+	onConfig   = []string{NotBuilt}
+	byKeepers  = []string{NotBuilt}
 	onSessions = []string{"internal/mysql", "internal/netio"}
 	onRations  = []string{"internal/decide/ration", "brain"}
 	onRests    = []string{"internal/decide/rest", "brain"}
