--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -29,9 +29,10 @@
 const (
 	day           = 86400.0 // seconds
 	changesASec   = ChangesADay / day
-	burstASec     = 20.0 // changes of configuration
-	reloadsASec   = 2.0  // at most, by a follower's least gap of 500 ms
-	msAsPercent   = 0.1  // of a core, of a millisecond in one second
+	burstASec     = 20.0          // changes of configuration
+	fourfold      = Routers / 150 // of what keepers' slopes by changes were measured with
+	reloadsASec   = 2.0           // at most, by a follower's least gap of 500 ms
+	msAsPercent   = 0.1           // of a core, of a millisecond in one second
 	machines      = Routers + Engines
 	enginesADay   = Restarts * Engines / machines
 	routersADay   = Restarts - enginesADay
@@ -100,7 +101,7 @@
 			Mechanism: "one frame for all followers", Packages: []string{"internal/board"}},
 		{Role: "control machine", What: "machines used", Budget: ControlMachines, Terms: []Term{Given(ControlMachines, "a keeper on each")},
 			Mechanism: "replicated log, any keeper serves", Packages: byKeepers},
-		{Role: "control machine", What: "a keeper's memory with 600 followers", Unit: inMB, Terms: []Term{Line("keeper-memory-by-followers", Routers)},
+		{Role: "control machine", What: "a keeper's memory, 600 followers over 5, 1,000 tenants as entries", Unit: inMB, Terms: []Term{Line("keeper-memory-by-routers", Routers), Rise("keeper-memory-by-entries", Tenants)},
 			Mechanism: "the content once, the past bounded in revisions and bytes, a lease a follower", Packages: byKeepers},
 		{Role: "engine", What: "statements a second of all engines in the days played, of 270,000", Terms: []Term{Played("calm", "statements_per_second")},
 			Mechanism: "the fleet's world of the module's tests", Packages: []string{"brain"}},
@@ -132,15 +133,15 @@
 			Terms:     []Term{Line("router-bytes-by-engines", Engines), Line("configuration-bytes-by-tenants", Tenants).By(changesASec)},
 			Mechanism: "files and signals, as without keepers", Packages: []string{"internal/settings", "internal/node"}},
 		{Role: "router", What: "bytes for control, with configuration by revision", Unit: inBytesASec, Budget: RouterBytes,
-			Terms:     []Term{Line("router-bytes-by-engines", Engines), Line("follower-bytes-by-configuration-changes", changesASec)},
+			Terms:     []Term{Line("router-bytes-by-engines", Engines), Line("follower-bytes-by-routers", Routers), Rise("follower-bytes-by-changes", changesASec)},
 			Mechanism: "one long poll in 2 s, deltas alone", Packages: onConfig},
 		{Role: "board", What: "processor time, our stand-in of one", Unit: inPercent, Terms: []Term{Line("board-cpu-by-routers", Routers)},
 			Mechanism: "one frame for all followers", Packages: []string{"internal/board"}},
 		{Role: "board", What: "bytes of 600 links", Unit: inBytesASec, Terms: []Term{Line("board-bytes-by-routers", Routers)},
 			Mechanism: "a beat a second", Packages: []string{"internal/board"}},
-		{Role: "control machine", What: "a keeper's processor time, 600 followers on it alone", Unit: inPercent, Terms: []Term{Line("keeper-cpu-by-followers", Routers)},
+		{Role: "control machine", What: "the busiest keeper's processor time, 600 followers over 5", Unit: inPercent, Terms: []Term{Line("keeper-cpu-by-routers", Routers)},
 			Mechanism: "long polls, answered from memory", Packages: byKeepers},
-		{Role: "control machine", What: "a keeper's bytes, 600 followers on it alone", Unit: inBytesASec, Terms: []Term{Line("keeper-bytes-by-followers", Routers)},
+		{Role: "control machine", What: "a keeper's bytes, 600 followers over 5", Unit: inBytesASec, Terms: []Term{Line("keeper-bytes-by-routers", Routers)},
 			Mechanism: "long polls, answered when there is news or after 2 s", Packages: byKeepers},
 		{Role: "operator", What: "changes in the hour", Terms: []Term{Given(ChangesADay/24.0, "1,500 a day over 24")},
 			Mechanism: "HTTP calls of any keeper", Packages: byKeepers},
@@ -165,7 +166,7 @@
 			Terms:     []Term{Line("list-wire-bytes-by-engines", Engines).By(routersADay / day)},
 			Mechanism: "the whole list in one frame, by the follower's last event", Packages: []string{"internal/board"}},
 		{Role: "control machine", What: "bytes of whole configurations to routers that restart, mean of the day", Unit: inBytesASec,
-			Terms:     []Term{Line("snapshot-bytes-by-tenants", Tenants).By(routersADay / day)},
+			Terms:     []Term{Line("whole-configuration-bytes-by-entries", Tenants).By(routersADay / day)},
 			Mechanism: "a copy on the follower's disk, a delta from there; a snapshot without one", Packages: byKeepers},
 		{Role: "board", What: "processor time at a change a second, a hundred times the day's mean", Unit: inPercent, Terms: []Term{Line("board-cpu-by-routers-at-1-change", Routers)},
 			Mechanism: "one frame for all followers", Packages: []string{"internal/board"}},
@@ -192,12 +193,15 @@
 		{Role: "router", What: "processor time for control at 20 changes a second, configuration by revision", Unit: inPercent, Budget: RouterPercent,
 			Terms:     []Term{Line("router-cpu-by-configuration-changes", burstASec)},
 			Mechanism: "a least gap of 500 ms between calls that bring changes", Packages: onConfig},
-		{Role: "router", What: "bytes for control at 20 changes a second, configuration by revision", Unit: inBytesASec, Budget: RouterBytes,
-			Terms:     []Term{Line("router-bytes-by-engines", Engines), Line("follower-bytes-by-configuration-changes", burstASec)},
+		{Role: "router", What: "bytes for control at 20 changes a second of one entry, configuration by revision", Unit: inBytesASec, Budget: RouterBytes,
+			Terms:     []Term{Line("router-bytes-by-engines", Engines), Line("follower-bytes-by-changes", burstASec)},
 			Mechanism: "deltas: the last value of an entry that changed twice", Packages: onConfig},
-		{Role: "control machine", What: "the leader's processor time at 20 changes a second", Unit: inPercent, Terms: []Term{Line("keeper-cpu-by-changes", burstASec)},
+		{Role: "router", What: "bytes for control at 20 changes a second of as many entries, configuration by revision", Unit: inBytesASec, Budget: RouterBytes,
+			Terms:     []Term{Line("router-bytes-by-engines", Engines), Line("follower-bytes-by-changes", burstASec), Rise("whole-configuration-bytes-by-entries", burstASec-reloadsASec)},
+			Mechanism: "deltas; each entry has to get there", Packages: onConfig},
+		{Role: "control machine", What: "the busiest keeper's processor time at 20 changes a second, as four times that with 150 routers", Unit: inPercent, Terms: []Term{Line("keeper-cpu-by-changes", burstASec).By(fourfold)},
 			Mechanism: "one entry of the log a change, one fsync for several", Packages: byKeepers},
-		{Role: "control machine", What: "the leader's bytes at 20 changes a second", Unit: inBytesASec, Terms: []Term{Line("keeper-bytes-by-changes", burstASec)},
+		{Role: "control machine", What: "a keeper's bytes at 20 changes a second, as four times that with 150 routers", Unit: inBytesASec, Terms: []Term{Line("keeper-bytes-by-changes", burstASec).By(fourfold)},
 			Mechanism: "deltas to followers, entries to keepers", Packages: byKeepers},
 		{Role: "operator", What: "from accept to in force at the last of 600 routers", Unit: inSeconds, Budget: InForceSeconds,
 			Terms:     []Term{Line("in-force-ms-by-routers", Routers).By(0.001)},
