--- a/brain/fleetengine_test.go
+++ b/brain/fleetengine_test.go
@@ -137,7 +137,7 @@
 		wait = after
 	}
 	f.after(wait, func() {
-		f.ask(r, &fleetAsk{class: q.class, work: q.work, first: q.first, aim: q.aim, end: q.end, tries: q.tries + 1})
+		f.ask(f.upFor(r), &fleetAsk{class: q.class, work: q.work, first: q.first, aim: q.aim, end: q.end, tries: q.tries + 1})
 	})
 }
 
--- a/brain/scalefleet_test.go
+++ b/brain/scalefleet_test.go
@@ -7,6 +7,7 @@
 	"path/filepath"
 	"runtime"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -90,20 +91,20 @@
 	if !full {
 		days = slices.DeleteFunc(days, func(d scaleDay) bool { return !d.short })
 	}
-	results := make([]capacity.Scale, len(days))
 	slots := make(chan struct{}, min(3, runtime.GOMAXPROCS(0))) // the machine serves others too
-	t.Run("days", func(t *testing.T) {
-		for i, d := range days {
-			t.Run(d.name, func(t *testing.T) {
-				t.Parallel()
-				slots <- struct{}{}
-				defer func() { <-slots }()
-				results[i] = playScale(t, d)
-			})
-		}
-	})
-	if full && !t.Failed() {
-		writeScale(t, slices.DeleteFunc(results, func(s capacity.Scale) bool { return s.Name == "" })) // -run may leave some out
+	var file sync.Mutex
+	for _, d := range days {
+		t.Run(d.name, func(t *testing.T) {
+			t.Parallel()
+			slots <- struct{}{}
+			defer func() { <-slots }()
+			result := playScale(t, d)
+			if full && !t.Failed() {
+				file.Lock()
+				defer file.Unlock()
+				writeScale(t, result)
+			}
+		})
 	}
 }
 
@@ -217,7 +218,8 @@
 	return idle, slices.Max(counts) / mean, math.Sqrt(max(0, squares/n-mean*mean)) / mean
 }
 
-func writeScale(t *testing.T, results []capacity.Scale) {
+// writeScale puts days that went well into the file, in the place of what was measured of them before.
+func writeScale(t *testing.T, results ...capacity.Scale) {
 	path := filepath.Join("..", "docs", "capacity", "scale.json")
 	var old []capacity.Scale
 	text, err := os.ReadFile(path)
--- a/brain/scalenear_test.go
+++ b/brain/scalenear_test.go
@@ -84,7 +84,7 @@
 	}
 	figures["one engine less: share of places moved"] = math.Round(1000*share) / 1000
 	if os.Getenv(scaleEnv) == "1" && !t.Failed() {
-		writeScale(t, []capacity.Scale{{Name: "near sets", Routers: gateways, Engines: engines, Zones: 6, Figures: figures,
-			Conditions: "the module alone, 24 cores an engine, nothing sent: who is near to whom", Test: "windflow/brain TestNearSetsOfALargeFleet"}})
+		writeScale(t, capacity.Scale{Name: "near sets", Routers: gateways, Engines: engines, Zones: 6, Figures: figures,
+			Conditions: "the module alone, 24 cores an engine, nothing sent: who is near to whom", Test: "windflow/brain TestNearSetsOfALargeFleet"})
 	}
 }
