--- a/internal/fleettest/board.go
+++ b/internal/fleettest/board.go
@@ -13,7 +13,7 @@
 	"time"
 
 	"windflow/brain"
-	"windflow/internal/board"
+	"windflow/internal/settings"
 )
 
 // Zones and Kinds are those of every fleet of the rig; records of the board point into them.
@@ -280,7 +280,7 @@
 	}
 	members := make([]member, len(engines))
 	for i, e := range engines {
-		members[i] = member{board.FormatID(e.ID), e.Addr.String(), Zones[e.Zone], Kinds[0], e.Zone, phases[e.State], 1, e.Started}
+		members[i] = member{settings.FormatID(e.ID), e.Addr.String(), Zones[e.Zone], Kinds[0], e.Zone, phases[e.State], 1, e.Started}
 	}
 	if len(engines) == 0 {
 		return json.RawMessage(`{"rev":0,"notices":[]}`)
--- /dev/null
+++ b/internal/fleettest/following_test.go
@@ -0,0 +1,315 @@
+package fleettest
+
+import (
+	"encoding/json"
+	"fmt"
+	"math"
+	"os"
+	"path/filepath"
+	"runtime"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"windflow/internal/capacity"
+	"windflow/internal/decide/rollout"
+)
+
+// rolloutSize is how large the fleet of TestConfigurationReachesTheFleet is: small unless the environment says more.
+type rolloutSize struct {
+	keepers, real, hollow int
+	changes               int // one after the other, and in a burst
+	tenants, engines      int // in the configuration of each router
+}
+
+func rolloutSizes(t *testing.T) rolloutSize {
+	t.Helper()
+	s := rolloutSize{keepers: 3, real: realFollowers, hollow: 60, changes: 4, tenants: 4, engines: listed}
+	for name, of := range map[string]*int{"WINDFLOW_FLEET_KEEPERS": &s.keepers, "WINDFLOW_FLEET_REAL": &s.real,
+		"WINDFLOW_FLEET_HOLLOW": &s.hollow, "WINDFLOW_FLEET_CHANGES": &s.changes, "WINDFLOW_FLEET_TENANTS": &s.tenants,
+		"WINDFLOW_FLEET_ENGINES": &s.engines} {
+		if text := os.Getenv(name); text != "" {
+			n, err := strconv.Atoi(text)
+			if err != nil || n < 0 {
+				t.Fatalf("%s: %q is no number", name, text)
+			}
+			*of = n
+		}
+	}
+	return s
+}
+
+// burstRate is how many changes a second come in a burst.
+const burstRate = 20
+
+// The first half of the zones is one region, and so are the first keepers, of which it has the majority.
+var regions = [2][]int{{0, 1, 2}, {3, 4, 5}}
+
+func regionOf(zone int) int { return zone / len(regions[0]) }
+
+// following is a fleet whose routers follow keepers: router i is in zone i mod 6, hollow ones first.
+type following struct {
+	t       *testing.T
+	rig     *Rig
+	size    rolloutSize
+	keepers *Keepers
+	doors   []*Doors // by zone
+	hollow  *Hollows
+	real    []*Router
+	changes int
+	figures map[string]float64 // of what was measured
+}
+
+func newFollowing(t *testing.T, size rolloutSize) *following {
+	r := New(t)
+	engines := Engines(size.engines)
+	b := NewBoard(t, engines)
+	f := &following{t: t, rig: r, size: size, figures: map[string]float64{}}
+	config := Config{Name: "base", Routers: size.real + size.hollow, Board: b.Addr, Engines: engines, Tenants: size.tenants, OverWorth: 0.1}
+	f.keepers = r.Keepers(size.keepers, config)
+	for range Zones {
+		f.doors = append(f.doors, f.keepers.Doors(t))
+	}
+	list := specs(size.hollow, config.Routers, engines, 1, func(int) string { return b.Addr })
+	for i := range list {
+		section, err := json.Marshal(f.section(i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		list[i].Keepers = section
+	}
+	for i := range size.real {
+		c := config
+		c.Name, c.Index, c.Own = fmt.Sprint("n", i), size.hollow+i, map[string]any{"keepers": f.section(size.hollow + i)}
+		f.real = append(f.real, r.Router(c))
+	}
+	f.hollow = r.Hollows(list)
+	for _, p := range f.real {
+		p.Ready()
+	}
+	return f
+}
+
+// close ends the processes of a fleet that is not needed any more.
+func (f *following) close() {
+	for _, p := range f.hollow.Processes {
+		p.Kill()
+	}
+	for _, p := range f.real {
+		p.Kill()
+	}
+	for _, m := range f.keepers.Members {
+		m.Kill()
+	}
+}
+
+func (f *following) section(i int) map[string]any {
+	return f.doors[i%len(Zones)].Section(filepath.Join(f.rig.Dir, fmt.Sprint("follower-", i)), i)
+}
+
+// next is a change that nobody has made.
+func (f *following) next() rollout.Change {
+	f.changes++
+	return rollout.Change{ID: fmt.Sprint("change-", f.changes), Put: map[string]json.RawMessage{
+		"/settings/over-share-worth": json.RawMessage(fmt.Sprintf("0.%06d", f.changes))}}
+}
+
+// change makes the next change, at keeper i.
+func (f *following) change(i int) (revision uint64, asked time.Time) {
+	f.t.Helper()
+	return f.keepers.Change(i, f.next())
+}
+
+// await waits until routers of zones have a revision, and records how long after it was asked for each of them had it.
+func (f *following) await(revision uint64, asked time.Time, zones func(int) bool, took *hdrhistogram.Histogram) {
+	f.t.Helper()
+	record := func(at time.Time) {
+		if took != nil {
+			if err := took.RecordValue(max(at.Sub(asked).Microseconds(), 1)); err != nil {
+				f.t.Error(err)
+			}
+		}
+	}
+	f.hollow.Await(func(state map[int]*Standing) string {
+		for n, s := range state {
+			if s.back != "" {
+				f.t.Errorf("hollow router %d went back: %s", n, s.back)
+				return ""
+			}
+			if s.Last() < revision && zones(n%len(Zones)) {
+				return fmt.Sprintf("hollow router %d of zone %d is at revision %d, want %d", n, n%len(Zones), s.Last(), revision)
+			}
+		}
+		for n, s := range state {
+			if at, _ := s.Since(revision); zones(n % len(Zones)) {
+				record(at)
+			}
+		}
+		return ""
+	})
+	for _, p := range f.real {
+		if zones(p.Index % len(Zones)) {
+			record(p.AwaitRevision(revision))
+		}
+	}
+}
+
+func everyZone(int) bool { return true }
+
+func newTimes() *hdrhistogram.Histogram { return hdrhistogram.New(1, 600_000_000, 3) }
+
+// told keeps and logs a distribution, in milliseconds.
+func (f *following) told(name string, took *hdrhistogram.Histogram) {
+	f.t.Helper()
+	for what, us := range map[string]int64{"median": took.ValueAtQuantile(50), "99th": took.ValueAtQuantile(99), "last": took.Max()} {
+		f.figures[name+", "+what+" ms"] = float64(us) / 1000
+	}
+	f.t.Logf("%s: median %.0f ms, 99th %.0f ms, last %.0f ms of %d", name, f.figures[name+", median ms"],
+		f.figures[name+", 99th ms"], f.figures[name+", last ms"], took.TotalCount())
+}
+
+// during keeps and logs what keepers and real routers took while something was done, and what their links carried.
+func (f *following) during(name string, do func()) {
+	f.t.Helper()
+	var all []*Process
+	for _, m := range f.keepers.Members {
+		all = append(all, m.Process)
+	}
+	for _, p := range f.real {
+		all = append(all, p.Process)
+	}
+	wire := func() (doors float64) {
+		for _, d := range f.doors {
+			doors += float64(d.Wire())
+		}
+		return doors
+	}
+	from, doors, between := make([]Usage, len(all)), wire(), float64(f.keepers.Wire())
+	for i, p := range all {
+		from[i] = p.Usage()
+	}
+	do()
+	most := map[string]float64{}
+	for i, p := range all {
+		to, who := p.Usage(), "keeper"
+		if i >= len(f.keepers.Members) {
+			who = "router"
+		}
+		for figure, v := range map[string]float64{"% of a core": Percent(from[i], to), "MB": to.MB()} {
+			most["busiest "+who+", "+figure] = max(most["busiest "+who+", "+figure], v)
+		}
+	}
+	doors, between = wire()-doors, float64(f.keepers.Wire())-between
+	seconds := time.Since(from[0].At).Seconds()
+	most["mean router, bytes/s"] = doors / seconds / float64(f.size.real+f.size.hollow)
+	most["mean keeper, bytes/s"] = (doors + 2*between) / seconds / float64(f.size.keepers)
+	for figure, v := range most {
+		f.figures[name+", "+figure] = v
+	}
+	f.t.Logf("%s: over %.0f s: %v", name, seconds, most)
+}
+
+// burst makes changes at an even pace at keeper i, whether or not those before have been answered; between is called after the
+// first half. It gives what was asked when.
+func (f *following) burst(i, n int, between func()) (asked map[uint64]time.Time, last uint64) {
+	f.t.Helper()
+	type made struct {
+		revision uint64
+		asked    time.Time
+		err      error
+	}
+	all := make(chan made, n)
+	pace := time.NewTicker(time.Second / burstRate)
+	defer pace.Stop()
+	for k := range n {
+		if k == n/2 && between != nil {
+			between()
+		}
+		<-pace.C
+		c := f.next()
+		go func() {
+			revision, asked, err := f.keepers.TryChange(i, c)
+			all <- made{revision, asked, err}
+		}()
+	}
+	asked = map[uint64]time.Time{}
+	for range n {
+		m := <-all
+		if m.err != nil {
+			f.t.Fatal(m.err)
+		}
+		asked[m.revision], last = m.asked, max(last, m.revision)
+	}
+	if len(asked) != n {
+		f.t.Errorf("%d changes with ids of their own got %d revisions", n, len(asked))
+	}
+	return asked, last
+}
+
+// paced logs how many changes a second were asked for.
+func (f *following) paced(name string, asked map[uint64]time.Time) {
+	var first, last time.Time
+	for _, at := range asked {
+		if first.IsZero() || at.Before(first) {
+			first = at
+		}
+		if at.After(last) {
+			last = at
+		}
+	}
+	f.figures[name+", changes a second"] = float64(len(asked)-1) / last.Sub(first).Seconds()
+	f.t.Logf("%s: %.1f changes a second were asked for", name, f.figures[name+", changes a second"])
+}
+
+func (f *following) awaitAll(asked map[uint64]time.Time, last uint64, took *hdrhistogram.Histogram) {
+	f.t.Helper()
+	f.await(last, asked[last], everyZone, nil)
+	for revision, at := range asked {
+		f.await(revision, at, everyZone, took)
+	}
+}
+
+func members(n int) (list []int) {
+	for i := range n {
+		list = append(list, i)
+	}
+	return list
+}
+
+// record puts the figures into scale.json beside slopes.json, where a folder for them is named.
+func (f *following) record() {
+	dir := os.Getenv(slopesEnv)
+	if dir == "" {
+		return
+	}
+	if !filepath.IsAbs(dir) {
+		dir = filepath.Join("..", "..", dir)
+	}
+	path := filepath.Join(dir, "scale.json")
+	day := capacity.Scale{Name: "configuration by revision", Routers: f.size.real + f.size.hollow, Engines: f.size.engines,
+		Zones: len(Zones), Figures: map[string]float64{}, Test: "windflow/internal/fleettest " + f.t.Name(),
+		Conditions: fmt.Sprintf("%d keepers, %d real and %d hollow routers, %d changes of one entry, one after the other and at %d a second; "+
+			"%d tenants; times from the operator's call on; %d cores, a 1-minute load of %s at the end with other work beside",
+			f.size.keepers, f.size.real, f.size.hollow, f.size.changes, burstRate, f.size.tenants, runtime.NumCPU(), load())}
+	for name, v := range f.figures {
+		day.Figures[name] = math.Round(v*1000) / 1000
+	}
+	var old []capacity.Scale
+	text, err := os.ReadFile(path)
+	if err == nil {
+		old, err = capacity.ParseScales(text)
+	} else if os.IsNotExist(err) {
+		err = nil
+	}
+	if err == nil {
+		text, err = capacity.FormatScales(capacity.MergeScales(old, []capacity.Scale{day}))
+	}
+	if err == nil {
+		err = os.WriteFile(path, text, 0o644)
+	}
+	if err != nil {
+		f.t.Fatal(err)
+	}
+}
--- a/internal/fleettest/hollow.go
+++ b/internal/fleettest/hollow.go
@@ -125,7 +125,7 @@
 	if err != nil {
 		return nil, err
 	}
-	known, last, err := board.ParseKnown(h.cfg.Known)
+	known, last, err := settings.ParseKnown(h.cfg.Known)
 	if err != nil {
 		return nil, err
 	}
@@ -147,7 +147,10 @@
 		defer close(h.ended)
 		h.loop.Run(h.stop)
 	}()
-	return h, nil
+	if spec.Keepers != nil {
+		h.follower, err = h.follow()
+	}
+	return h, err
 }
 
 func (h *hollow) names() board.Names {
@@ -160,11 +163,7 @@
 }
 
 // configure puts another configuration in force, as a router's reload does; an error says that nothing changed.
-func (h *hollow) configure(text []byte) error {
-	cfg, err := settings.ParseNode(text)
-	if err != nil {
-		return err
-	}
+func (h *hollow) configure(cfg *settings.Node) error {
 	decisions, err := cfg.Parsed.Config(h.cfg.SeedValue)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/fleettest/hollowfollow.go
@@ -0,0 +1,43 @@
+package fleettest
+
+import (
+	"encoding/json"
+	"log/slog"
+	"math/rand/v2"
+	"time"
+
+	"windflow/internal/decide/rollout"
+	"windflow/internal/follow"
+	"windflow/internal/settings"
+	"windflow/internal/validate"
+)
+
+// follow has a hollow router follow keepers as a router does: the same client, the same check, and a change of the core and of
+// the follower of the board in the loop. The function that it gives ends it.
+func (h *hollow) follow() (end func(), err error) {
+	var section follow.Config
+	if err := json.Unmarshal(h.spec.Keepers, &section); err != nil {
+		return nil, err
+	}
+	instance := rollout.Instance(time.Now().UnixMilli(), rand.Uint64())
+	client := follow.New(section, h.cfg.Name, instance, slog.New(slog.DiscardHandler))
+	client.Start(func(rev follow.Revision) error {
+		cfg, fault := validate.Overlaid(h.spec.Config, rev.Entries)
+		if fault != nil {
+			return &follow.Refusal{Pointer: fault.Pointer, Reason: fault.Reason}
+		}
+		if err := h.put(cfg); err != nil {
+			return &follow.Refusal{Reason: err.Error()}
+		}
+		h.out.tell(word{Router: h.spec.Number, Revision: rev.Revision, Hash: rev.Hash.String(), AtNS: time.Now().UnixNano()})
+		return nil
+	})
+	return client.Stop, nil
+}
+
+// put brings a configuration in force, in the loop.
+func (h *hollow) put(cfg *settings.Node) error {
+	done := make(chan error, 1)
+	h.loop.Post(func() { done <- h.configure(cfg) })
+	return <-done
+}
--- a/internal/fleettest/hollows.go
+++ b/internal/fleettest/hollows.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"os"
 	"os/exec"
+	"sort"
 	"strings"
 	"sync"
 	"time"
@@ -24,12 +25,46 @@
 	totals []Totals
 }
 
-// Standing is what a hollow router last said.
+// Standing is what a hollow router said.
 type Standing struct {
-	List     uint64
-	Revision uint64
-	Hash     string
-	At       map[uint64]time.Time // when a revision came in force there
+	List uint64 // event of the board
+	Revisions
+}
+
+// Revisions are those of the configuration that a router said it has in force, in the order in which it said so.
+type Revisions struct {
+	Hash  string // of the last one
+	taken []taken
+	back  string // that it went back, if it ever did
+}
+
+type taken struct {
+	revision uint64
+	at       time.Time
+}
+
+// Last is the revision in force; 0 for none.
+func (r *Revisions) Last() uint64 {
+	if len(r.taken) == 0 {
+		return 0
+	}
+	return r.taken[len(r.taken)-1].revision
+}
+
+// Since is when a revision or a later one came in force; false if none has.
+func (r *Revisions) Since(revision uint64) (time.Time, bool) {
+	i := sort.Search(len(r.taken), func(i int) bool { return r.taken[i].revision >= revision })
+	if i == len(r.taken) {
+		return time.Time{}, false
+	}
+	return r.taken[i].at, true
+}
+
+func (r *Revisions) take(revision uint64, hash string, at time.Time) {
+	if revision <= r.Last() {
+		r.back = fmt.Sprintf("from revision %d to %d", r.Last(), revision)
+	}
+	r.taken, r.Hash = append(r.taken, taken{revision, at}), hash
 }
 
 // Hollows starts hollow routers, PerProcess to a process, and waits until they run.
@@ -41,7 +76,7 @@
 	}
 	h := &Hollows{rig: r, news: make(chan struct{}), state: map[int]*Standing{}}
 	for _, s := range specs {
-		h.state[s.Number] = &Standing{At: map[uint64]time.Time{}}
+		h.state[s.Number] = &Standing{}
 	}
 	for len(specs) > 0 {
 		n := min(PerProcess, len(specs))
@@ -76,8 +111,7 @@
 		} else {
 			s.List = max(s.List, w.List)
 			if w.Revision > 0 {
-				s.Revision, s.Hash = w.Revision, w.Hash
-				s.At[w.Revision] = time.Unix(0, w.AtNS)
+				s.take(w.Revision, w.Hash, time.Unix(0, w.AtNS))
 			}
 		}
 		close(h.news)
--- /dev/null
+++ b/internal/fleettest/keepers.go
@@ -0,0 +1,254 @@
+package fleettest
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"windflow/internal/decide/rollout"
+)
+
+// Keepers are processes of the built windflowkeeper, with a link of its own from each to each other one.
+type Keepers struct {
+	Members []*Keeper
+
+	rig   *Rig
+	links map[[2]int][]*Relay // from, to: of replication and of calls
+}
+
+// Keeper is one of them.
+type Keeper struct {
+	*Process
+	ID, HTTP, Raft string
+
+	args []string
+}
+
+// Keepers starts n keepers, which check changes against a router's configuration, and waits until all take calls.
+func (r *Rig) Keepers(n int, base Config) *Keepers {
+	r.T.Helper()
+	k := &Keepers{rig: r, links: map[[2]int][]*Relay{}}
+	file := filepath.Join(r.Dir, "base.json")
+	base.Name, base.Listen = "base", "127.0.0.1:1"
+	if err := os.WriteFile(file, base.Text(), 0o600); err != nil {
+		r.T.Fatal(err)
+	}
+	for i := range n {
+		k.Members = append(k.Members, &Keeper{ID: fmt.Sprint("k", i+1), HTTP: FreePort(r.T), Raft: FreePort(r.T)})
+	}
+	for i, m := range k.Members {
+		var peers []string
+		for j, p := range k.Members {
+			raft, http := p.Raft, p.HTTP
+			if i != j {
+				links := []*Relay{NewRelay(r.T, raft), NewRelay(r.T, http)}
+				k.links[[2]int{i, j}] = links
+				raft, http = links[0].Addr, links[1].Addr
+			}
+			peers = append(peers, p.ID+"="+raft+"/"+http)
+		}
+		m.args = []string{"serve", "--id", m.ID, "--dir", filepath.Join(r.Dir, m.ID), "--http", m.HTTP, "--raft", m.Raft,
+			"--peers", strings.Join(peers, ","), "--base", file}
+		k.launch(i)
+	}
+	for _, m := range k.Members {
+		m.Ready()
+	}
+	return k
+}
+
+func (k *Keepers) launch(i int) {
+	k.rig.T.Helper()
+	m := k.Members[i]
+	cmd := exec.Command(filepath.Join(Programs(k.rig.T), "windflowkeeper"), m.args...)
+	cmd.Env = os.Environ()
+	m.Process = k.rig.Start(m.ID, cmd)
+}
+
+// Restart starts a keeper that has ended, on its folder, and waits until it takes calls.
+func (k *Keepers) Restart(i int) {
+	k.rig.T.Helper()
+	k.launch(i)
+	k.Members[i].Ready()
+}
+
+// Apart silences all links between keepers on two sides, or has them speak again.
+func (k *Keepers) Apart(silent bool, a, b []int) {
+	for _, i := range a {
+		for _, j := range b {
+			for _, l := range append(k.links[[2]int{i, j}], k.links[[2]int{j, i}]...) {
+				if l.Mend(); silent {
+					l.Silence(Up)
+					l.Silence(Down)
+				}
+			}
+		}
+	}
+}
+
+// Wire is what went between keepers so far, with headers.
+func (k *Keepers) Wire() (sum int64) {
+	for _, links := range k.links {
+		for _, l := range links {
+			sum += l.Wire()
+		}
+	}
+	return sum
+}
+
+// errNotYet is an answer that may be another one on the next call: no leader, no majority, nobody there.
+var errNotYet = errors.New("not yet")
+
+var calls = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 64}}
+
+// call makes one call at a keeper within a time and reads its answer.
+func (m *Keeper) call(within time.Duration, method, path string, in, out any) error {
+	ctx, cancel := context.WithTimeout(context.Background(), within)
+	defer cancel()
+	var body io.Reader
+	if in != nil {
+		text, err := json.Marshal(in)
+		if err != nil {
+			return err
+		}
+		body = bytes.NewReader(text)
+	}
+	q, err := http.NewRequestWithContext(ctx, method, "http://"+m.HTTP+path, body)
+	if err != nil {
+		return err
+	}
+	a, err := calls.Do(q)
+	if err != nil {
+		return fmt.Errorf("%w: %w", errNotYet, err)
+	}
+	defer a.Body.Close()
+	text, err := io.ReadAll(a.Body)
+	switch {
+	case err != nil:
+		return fmt.Errorf("%w: %w", errNotYet, err)
+	case a.StatusCode == http.StatusServiceUnavailable:
+		return fmt.Errorf("%w: %s", errNotYet, text)
+	case a.StatusCode >= 300:
+		return fmt.Errorf("%s %s at %s: %d %s", method, path, m.ID, a.StatusCode, text)
+	}
+	return json.Unmarshal(text, out)
+}
+
+// Change has a change made by keeper i, and calls again with the same id until it is answered, at another keeper where that
+// one is gone. It gives the revision, and when the first call was made.
+func (k *Keepers) Change(i int, c rollout.Change) (revision uint64, asked time.Time) {
+	k.rig.T.Helper()
+	revision, asked, err := k.TryChange(i, c)
+	if err != nil {
+		k.rig.T.Fatal(err)
+	}
+	return revision, asked
+}
+
+// TryChange is Change, and may be called from any goroutine.
+func (k *Keepers) TryChange(i int, c rollout.Change) (revision uint64, asked time.Time, err error) {
+	asked = time.Now()
+	for {
+		var done rollout.Result
+		err := k.Members[i].call(10*time.Second, http.MethodPost, "/v1/changes", c, &done)
+		if err == nil {
+			return done.Revision, asked, nil
+		}
+		if !errors.Is(err, errNotYet) || time.Since(asked) > Patience {
+			return 0, asked, fmt.Errorf("change %s: %w", c.ID, err)
+		}
+		i = (i + 1) % len(k.Members)
+	}
+}
+
+// Leader is the keeper that leads by the word of keeper i and its own.
+func (k *Keepers) Leader(i int) int {
+	k.rig.T.Helper()
+	for began := time.Now(); time.Since(began) < Patience; {
+		var s struct {
+			Leader   string `json:"leader"`
+			Majority bool   `json:"majority"`
+		}
+		if err := k.Members[i].call(time.Second, http.MethodGet, "/v1/status", nil, &s); err != nil || !s.Majority {
+			continue
+		}
+		for j, m := range k.Members {
+			if m.ID == s.Leader {
+				return j
+			}
+		}
+	}
+	k.rig.T.Fatalf("%s names no leader within %v", k.Members[i].ID, Patience)
+	return 0
+}
+
+// Everywhere asks keeper i until it says that a revision is in force everywhere.
+func (k *Keepers) Everywhere(i int, revision uint64) rollout.Verdict {
+	k.rig.T.Helper()
+	var last error
+	for began := time.Now(); time.Since(began) < Patience; {
+		var v rollout.Verdict
+		last = k.Members[i].call(10*time.Second, http.MethodGet, fmt.Sprintf("/v1/rollout?revision=%d&wait_ms=7000", revision), nil, &v)
+		if last == nil && v.Everywhere {
+			return v
+		}
+		if last == nil {
+			last = fmt.Errorf("%d in force, %d behind, %d refused, %d gone, unreached %v", len(v.InForce), len(v.Behind), len(v.Refused), len(v.Gone), v.Unreached)
+		}
+	}
+	k.rig.T.Fatalf("revision %d is not in force everywhere by the word of %s: %v", revision, k.Members[i].ID, last)
+	return rollout.Verdict{}
+}
+
+// Stop has a keeper stand still, and Go go on.
+func (m *Keeper) Stop() { m.Signal(syscall.SIGSTOP) }
+
+// Go: see Stop.
+func (m *Keeper) Go() { m.Signal(syscall.SIGCONT) }
+
+// Doors are a link from one zone to each keeper, which all its routers use.
+type Doors struct{ Relays []*Relay }
+
+// Doors makes the links of a zone.
+func (k *Keepers) Doors(t testing.TB) *Doors {
+	d := &Doors{}
+	for _, m := range k.Members {
+		d.Relays = append(d.Relays, NewRelay(t, m.HTTP))
+	}
+	return d
+}
+
+// Section is the section of the installation's settings for routers behind these links. Each prefers another keeper.
+func (d *Doors) Section(dir string, i int) map[string]any {
+	var addresses []string
+	for j := range d.Relays {
+		addresses = append(addresses, d.Relays[(i+j)%len(d.Relays)].Addr)
+	}
+	return map[string]any{"addresses": addresses, "dir": dir, "hold_ms": 2000}
+}
+
+// Wire is what went over them so far, with headers.
+func (d *Doors) Wire() (sum int64) {
+	for _, r := range d.Relays {
+		sum += r.Wire()
+	}
+	return sum
+}
+
+// Each does something to the links to some keepers.
+func (d *Doors) Each(keepers []int, do func(*Relay)) {
+	for _, i := range keepers {
+		do(d.Relays[i])
+	}
+}
--- a/internal/fleettest/rig.go
+++ b/internal/fleettest/rig.go
@@ -82,11 +82,12 @@
 	ended chan struct{} // closed once it has ended
 	err   error         // of its end
 
-	mu    sync.Mutex
-	seen  map[string]int // lines of its log that contain a text, for texts that were asked for
-	last  []string
-	news  chan struct{} // closed and replaced when seen has changed
-	asked bool          // its end was asked for
+	mu        sync.Mutex
+	seen      map[string]int // lines of its log that contain a text, for texts that were asked for
+	revisions Revisions      // that its log says are in force
+	last      []string
+	news      chan struct{} // closed and replaced when seen or revisions have changed
+	asked     bool          // its end was asked for
 }
 
 // Start starts a command. Descriptor 3 of it is one of readiness, whose number it finds in WINDFLOW_READY_FD; its log is
@@ -173,6 +174,10 @@
 				changed = true
 			}
 		}
+		if revision, ok := inForce(line); ok {
+			p.revisions.take(revision, "", time.Now())
+			changed = true
+		}
 		if p.last = append(p.last, strings.TrimSpace(string(line))); len(p.last) > 2*keepLines {
 			p.last = append([]string(nil), p.last[keepLines:]...)
 		}
@@ -184,6 +189,16 @@
 	}
 }
 
+// inForce reads the revision out of a line that says which one a router has in force.
+func inForce(line []byte) (revision uint64, ok bool) {
+	if !bytes.Contains(line, []byte(lineInForce)) {
+		return 0, false
+	}
+	_, rest, _ := bytes.Cut(line, []byte(" revision="))
+	n, err := fmt.Sscanf(string(rest), "%d", &revision)
+	return revision, n == 1 && err == nil
+}
+
 // Log gives the last lines that the process logged.
 func (p *Process) Log() string {
 	p.mu.Lock()
@@ -217,22 +232,28 @@
 
 // Await waits until as many lines of the log have contained a text that was watched from the start.
 func (p *Process) Await(text string, n int) {
+	p.rig.T.Helper()
+	p.await(fmt.Sprintf("%d lines with %q", n, text), func() bool { return p.seen[text] >= n })
+}
+
+// await waits until the log has said something; ok is asked with the lock held.
+func (p *Process) await(what string, ok func() bool) {
 	p.rig.T.Helper()
 	late := time.NewTimer(Patience)
 	defer late.Stop()
 	for {
 		p.mu.Lock()
-		seen, news := p.seen[text], p.news
+		there, news := ok(), p.news
 		p.mu.Unlock()
-		if seen >= n {
+		if there {
 			return
 		}
 		select {
 		case <-news:
 		case <-p.ended:
-			p.rig.T.Fatalf("%s: ended before %d lines with %q:\n%s", p.Name, n, text, p.Log())
+			p.rig.T.Fatalf("%s: ended before %s:\n%s", p.Name, what, p.Log())
 		case <-late.C:
-			p.rig.T.Fatalf("%s: %d of %d lines with %q within %v:\n%s", p.Name, seen, n, text, Patience, p.Log())
+			p.rig.T.Fatalf("%s: not %s within %v:\n%s", p.Name, what, Patience, p.Log())
 		}
 	}
 }
@@ -311,9 +332,15 @@
 	err error
 }
 
+// programsEnv names a folder with the programs of another version, to be measured by hand in place of those of this one.
+const programsEnv = "WINDFLOW_FLEET_PROGRAMS"
+
 // Programs builds the programs as deploy/balancer.toml says, once for a test run, and gives the folder that they are in.
 func Programs(t testing.TB) string {
 	t.Helper()
+	if other := os.Getenv(programsEnv); other != "" {
+		return other
+	}
 	programs.Lock()
 	defer programs.Unlock()
 	if programs.at == "" && programs.err == nil {
--- a/internal/fleettest/rig_test.go
+++ b/internal/fleettest/rig_test.go
@@ -14,6 +14,7 @@
 
 const (
 	realRouters   = 4
+	realFollowers = 4
 	hollowRouters = 60
 	listed        = 120
 )
--- a/internal/fleettest/router.go
+++ b/internal/fleettest/router.go
@@ -7,8 +7,10 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"testing"
+	"time"
 )
 
 // Config is what differs between the routers of a rig; the rest is the platform's configuration of a plain site.
@@ -77,6 +79,7 @@
 	LineRefused  = `msg="reload refused"`
 	LineEvent    = `msg="board event"`
 	LineLink     = `msg="board link up"`
+	lineInForce  = `msg="configuration in force"`
 )
 
 // Router starts a router, and does not wait until it is ready.
@@ -123,13 +126,36 @@
 	p.Signal(syscall.SIGHUP)
 }
 
-// FreePort gives an address on loopback at which nobody listens now.
+// AwaitRevision waits until the router has a revision of the configuration or a later one in force, and gives since when, by
+// the line of its log.
+func (p *Router) AwaitRevision(revision uint64) time.Time {
+	p.rig.T.Helper()
+	var since time.Time
+	p.await(fmt.Sprint("revision ", revision), func() bool {
+		if p.revisions.back != "" {
+			p.rig.T.Errorf("%s went back: %s", p.Process.Name, p.revisions.back)
+		}
+		at, ok := p.revisions.Since(revision)
+		since = at
+		return ok || p.revisions.back != ""
+	})
+	return since
+}
+
+var addresses atomic.Uint32
+
+// FreePort gives an address on loopback for a process to listen at. Each has an IP address of its own, where nobody's own
+// end of a connection is put, so that it stays free until the process is there, and while it is started anew.
 func FreePort(t testing.TB) string {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range 1000 {
+		n, pid := addresses.Add(1), os.Getpid()
+		addr := fmt.Sprintf("127.%d.%d.%d:7500", 16+pid%180, uint32(pid/180%8)*30+n/250%30, 1+n%250)
+		if lis, err := net.Listen("tcp", addr); err == nil {
+			_ = lis.Close()
+			return addr
+		}
 	}
-	defer lis.Close()
-	return lis.Addr().String()
+	t.Fatal("no address on loopback is free")
+	return ""
 }
--- /dev/null
+++ b/internal/fleettest/slopes_keepers_test.go
@@ -0,0 +1,272 @@
+package fleettest
+
+import (
+	"bytes"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"testing"
+	"time"
+
+	"windflow/internal/decide/rollout"
+)
+
+// group is five keepers with hollow routers that follow them.
+type group struct {
+	*following
+	wireDoors, wireKeepers int64
+}
+
+func (g *group) processes() (list []*Process) {
+	for _, m := range g.keepers.Members {
+		list = append(list, m.Process)
+	}
+	return list
+}
+
+func (g *group) mark() {
+	g.wireDoors, g.wireKeepers = g.wire()
+}
+
+func (g *group) wire() (doors, keepers int64) {
+	for _, d := range g.doors {
+		doors += d.Wire()
+	}
+	return doors, g.keepers.Wire()
+}
+
+func newGroup(t *testing.T, routers int) *group {
+	g := &group{following: newFollowing(t, rolloutSize{keepers: 5, hollow: routers, tenants: 4, engines: listed})}
+	revision, asked := g.change(0)
+	g.await(revision, asked, everyZone, nil)
+	return g
+}
+
+// measure takes what the busiest keeper, and what the followers and keepers put on the wire, over a span.
+func measure(groups []*group) (cpu, mb, perRouter, perKeeper []float64) {
+	var all []*Process
+	for _, g := range groups {
+		all = append(all, g.processes()...)
+		g.mark()
+	}
+	began := time.Now()
+	percent, holds := costs(span, all...)
+	took := time.Since(began).Seconds()
+	for _, g := range groups {
+		n := len(g.keepers.Members)
+		cpu, mb = append(cpu, slices.Max(percent[:n])), append(mb, slices.Max(holds[:n]))
+		percent, holds = percent[n:], holds[n:]
+		doors, keepers := g.wire()
+		perRouter = append(perRouter, float64(doors-g.wireDoors)/took/float64(g.size.hollow))
+		perKeeper = append(perKeeper, float64(doors-g.wireDoors+2*(keepers-g.wireKeepers))/took/float64(n))
+	}
+	return cpu, mb, perRouter, perKeeper
+}
+
+const ofKeepers = "the busiest of 5 keepers; hollow routers follow them by the long poll, each change one entry; 20 s"
+
+// What a keeper costs by the routers that follow, while nothing changes.
+func TestSlopesOfKeepersByRouters(t *testing.T) {
+	rows := slopes(t)
+	sizes := []int{60, 150, 300, 600}
+	var groups []*group
+	for _, n := range sizes {
+		groups = append(groups, newGroup(t, n))
+	}
+	cpu, mb, perRouter, perKeeper := measure(groups)
+	rows.add("keeper-cpu-by-routers", "keeper", "routers", percent, pairs(sizes, cpu), ofKeepers+"; nothing changes")
+	rows.add("keeper-memory-by-routers", "keeper", "routers", mega, pairs(sizes, mb), ofKeepers+"; nothing changes")
+	rows.add("keeper-bytes-by-routers", "keeper", "routers", rate, pairs(sizes, perKeeper),
+		ofKeepers+"; nothing changes; mean of the keepers, links to followers and among keepers")
+	rows.add("follower-bytes-by-routers", "router", "routers", rate, pairs(sizes, perRouter), ofKeepers+"; nothing changes; mean of the routers")
+}
+
+// What keepers and followers cost in a burst of changes, by the routers.
+func TestSlopesOfKeepersInABurst(t *testing.T) {
+	rows := slopes(t)
+	sizes := []int{60, 150, 300, 600}
+	var groups []*group
+	for _, n := range sizes {
+		groups = append(groups, newGroup(t, n))
+	}
+	var ended []func()
+	for _, g := range groups {
+		ended = append(ended, g.pace(burstRate))
+	}
+	cpu, _, perRouter, perKeeper := measure(groups)
+	for _, end := range ended {
+		end()
+	}
+	conditions := fmt.Sprintf("%s; %d changes a second", ofKeepers, burstRate)
+	rows.add("keeper-cpu-by-routers-in-a-burst", "keeper", "routers", percent, pairs(sizes, cpu), conditions)
+	rows.add("keeper-bytes-by-routers-in-a-burst", "keeper", "routers", rate, pairs(sizes, perKeeper),
+		conditions+"; mean of the keepers, links to followers and among keepers")
+	rows.add("follower-bytes-by-routers-in-a-burst", "router", "routers", rate, pairs(sizes, perRouter), conditions+"; mean of the routers")
+}
+
+// How long a change takes until the last router has it in force, by the routers.
+func TestSlopesOfInForce(t *testing.T) {
+	rows := slopes(t)
+	const changes = 40
+	sizes := []int{60, 150, 300, 600}
+	var mean, worst []float64
+	for _, n := range sizes {
+		g := newGroup(t, n)
+		var sum, most time.Duration
+		for i := range changes {
+			took := newTimes()
+			revision, asked := g.change(i % g.size.keepers)
+			g.await(revision, asked, everyZone, took)
+			last := time.Duration(took.Max()) * time.Microsecond
+			sum, most = sum+last, max(most, last)
+		}
+		mean, worst = append(mean, (sum/changes).Seconds()*1000), append(worst, most.Seconds()*1000)
+		g.close()
+	}
+	conditions := "5 keepers, hollow routers; 40 changes one after the other, from the operator's call on; wall time on a machine shared with other work"
+	rows.add("in-force-ms-by-routers", "router", "routers", "ms until the last has it in force, mean of the changes", pairs(sizes, mean), conditions)
+	rows.add("in-force-worst-ms-by-routers", "router", "routers", "ms until the last has it in force, the slowest change", pairs(sizes, worst), conditions)
+}
+
+// linear is how many changes a second a follower takes at most: it leaves 500 ms between two calls that bring some. Its costs
+// grow up to there, and are level past it.
+const linear = 2
+
+// What a keeper and a follower cost by the changes a second.
+func TestSlopesOfKeepersByChanges(t *testing.T) {
+	rows := slopes(t)
+	rates := []float64{0, 0.5, 1, linear, 20}
+	var groups []*group
+	for range rates {
+		groups = append(groups, newGroup(t, 150))
+	}
+	var ended []func()
+	for i, g := range groups {
+		ended = append(ended, g.pace(rates[i]))
+	}
+	cpu, mb, perRouter, perKeeper := measure(groups)
+	for _, end := range ended {
+		end()
+	}
+	conditions := ofKeepers + "; 150 routers"
+	rows.add("keeper-cpu-by-changes", "keeper", "configuration changes a second", percent, pairs(rates, cpu), conditions)
+	rows.add("keeper-memory-by-changes", "keeper", "configuration changes a second", mega, pairs(rates, mb), conditions)
+	rows.add("keeper-bytes-by-changes", "keeper", "configuration changes a second", rate, pairs(rates, perKeeper),
+		conditions+"; mean of the keepers, links to followers and among keepers")
+	grows := len(rates) - 1
+	rows.add("follower-bytes-by-changes", "router", "configuration changes a second", rate, pairs(rates[:grows], perRouter[:grows]),
+		fmt.Sprintf("%s; mean of the routers; level past %d changes a second: %.0f at %v", conditions, linear, perRouter[grows], rates[grows]))
+}
+
+// pace makes changes at an even pace until the function that it gives is called.
+func (f *following) pace(aSecond float64) (end func()) {
+	if aSecond == 0 {
+		return func() {}
+	}
+	done, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		pace := time.NewTicker(time.Duration(float64(time.Second) / aSecond))
+		defer pace.Stop()
+		for {
+			select {
+			case <-done:
+				return
+			case <-pace.C:
+			}
+			if _, _, err := f.keepers.TryChange(0, f.next()); err != nil {
+				f.t.Errorf("%v changes a second: %v", aSecond, err)
+				return
+			}
+		}
+	}()
+	return func() {
+		close(done)
+		<-ended
+	}
+}
+
+// What a router costs that follows keepers, by the changes a second.
+func TestSlopesOfAFollower(t *testing.T) {
+	rows := slopes(t)
+	rates := []float64{0, 0.2, 0.5, 1, linear, burstRate}
+	var all []*Process
+	var fleets []*following
+	var ended []func()
+	for range rates {
+		f := newFollowing(t, rolloutSize{keepers: 3, real: 1, tenants: 1000, engines: 1200})
+		revision, asked := f.change(0)
+		f.await(revision, asked, everyZone, nil)
+		fleets, all = append(fleets, f), append(all, f.real[0].Process)
+	}
+	wire := func(f *following) (sum int64) {
+		for _, d := range f.doors {
+			sum += d.Wire()
+		}
+		return sum
+	}
+	from := make([]int64, len(fleets))
+	for i, f := range fleets {
+		ended = append(ended, f.pace(rates[i]))
+		from[i] = wire(f)
+	}
+	began := time.Now()
+	cpu, mb := costs(span, all...)
+	var bytes []float64
+	for i, f := range fleets {
+		bytes = append(bytes, float64(wire(f)-from[i])/time.Since(began).Seconds())
+	}
+	for _, end := range ended {
+		end()
+	}
+	grows := len(rates) - 1
+	add := func(name, y, unit string, values []float64) {
+		rows.add(name, "router", "configuration changes a second", y, pairs(rates[:grows], values[:grows]), fmt.Sprintf("a router that follows "+
+			"3 keepers; 1,200 engines and 1,000 tenants in its file; each change one entry; no clients; 20 s; level past %d changes a second: %.2f%s at %d",
+			linear, values[grows], unit, burstRate))
+	}
+	add("router-cpu-by-configuration-changes", percent, "%", cpu)
+	add("router-memory-by-configuration-changes", mega, " MB", mb)
+	add("router-bytes-by-configuration-changes", rate, " bytes a second on its link to the keepers", bytes)
+}
+
+// How large a whole configuration is for a follower that has none, and what a keeper holds, by tenants that are put as entries.
+func TestSlopesOfAWholeConfiguration(t *testing.T) {
+	rows := slopes(t)
+	sizes := []int{10, 100, 300, 1000}
+	g := newGroup(t, 6)
+	var sent, mb []float64
+	put := 0
+	for _, n := range sizes {
+		for put < n {
+			c := rollout.Change{ID: fmt.Sprint("tenants-", put), Put: map[string]json.RawMessage{}}
+			for ; put < n && len(c.Put) < 50; put++ {
+				c.Put[fmt.Sprintf("/settings/parties/tenant-%05d", put)] = json.RawMessage(`{"quota-rps":11.5,"share":0.25}`)
+			}
+			revision, asked := g.keepers.Change(0, c)
+			g.await(revision, asked, everyZone, nil)
+		}
+		q, err := json.Marshal(map[string]any{"report": rollout.NewFollower("fresh", fmt.Sprint("fresh-", n)).Ask(), "wait_ms": 2000})
+		if err != nil {
+			t.Fatal(err)
+		}
+		size := 0
+		for size == 0 { // 204 while the name is new
+			a, err := calls.Post("http://"+g.keepers.Members[0].HTTP+"/v1/follow", "application/json", bytes.NewReader(q))
+			if err != nil {
+				t.Fatal(err)
+			}
+			text, err := io.ReadAll(a.Body)
+			_ = a.Body.Close()
+			if err != nil || a.StatusCode >= 300 {
+				t.Fatal(a.StatusCode, string(text), err)
+			}
+			size = len(text)
+		}
+		sent, mb = append(sent, float64(size)), append(mb, g.keepers.Members[0].Usage().MB())
+	}
+	rows.add("whole-configuration-bytes-by-entries", "keeper", "entries", "bytes of a whole configuration", pairs(sizes, sent),
+		"the body that a keeper sends to a follower that has none; tenants as entries beside one other")
+	rows.add("keeper-memory-by-entries", "keeper", "entries", mega, pairs(sizes, mb), "the same; after the changes that put them, 50 tenants in each")
+}
