Measure a router that follows the keepers, and reckon the rows of configuration by revision

Rows of keepers come from the rig's slopes; what is taken to grow with the fleet says how many times.

--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -59,13 +59,19 @@
 
 var (
 	onList     = []string{"internal/board", "brain"}
-	onConfig   = []string{NotBuilt}
-	byKeepers  = []string{NotBuilt}
+	onConfig   = []string{"internal/decide/rollout", "internal/follow"}
+	byKeepers  = []string{"internal/decide/rollout", "internal/keeper"}
 	onSessions = []string{"internal/mysql", "internal/netio"}
 	onRations  = []string{"internal/decide/ration", "brain"}
 	onRests    = []string{"internal/decide/rest", "brain"}
 )
 
+// revisions is the day on which configuration by revision reaches a fleet of real and hollow routers.
+const revisions = "configuration by revision"
+
+// inForce is how long it took until the last router had a revision in force.
+func inForce(while string) []Term { return []Term{Played(revisions, while+", last ms").By(0.001)} }
+
 // Scenarios are the tables of docs/CAPACITY.md.
 func Scenarios() []Scenario {
 	return slices.Concat(sizeRows(), quietRows(), troubleRows())
@@ -199,12 +205,21 @@
 		{Role: "router", What: "bytes for control at 20 changes a second of as many entries, configuration by revision", Unit: inBytesASec, Budget: RouterBytes,
 			Terms:     []Term{Line("router-bytes-by-engines", Engines), Line("follower-bytes-by-changes", burstASec), Rise("whole-configuration-bytes-by-entries", burstASec-reloadsASec)},
 			Mechanism: "deltas; each entry has to get there", Packages: onConfig},
-		{Role: "control machine", What: "the busiest keeper's processor time at 20 changes a second, as four times that with 150 routers", Unit: inPercent, Terms: []Term{Line("keeper-cpu-by-changes", burstASec).By(fourfold)},
+		{Role: "control machine", What: "the busiest keeper's processor time at 20 changes a second, as four times that with 150 routers", Unit: inPercent, Terms: []Term{Line("keeper-cpu-by-changes", burstASec).Scaled(fourfold)},
 			Mechanism: "one entry of the log a change, one fsync for several", Packages: byKeepers},
-		{Role: "control machine", What: "a keeper's bytes at 20 changes a second, as four times that with 150 routers", Unit: inBytesASec, Terms: []Term{Line("keeper-bytes-by-changes", burstASec).By(fourfold)},
+		{Role: "control machine", What: "a keeper's bytes at 20 changes a second, as four times that with 150 routers", Unit: inBytesASec, Terms: []Term{Line("keeper-bytes-by-changes", burstASec).Scaled(fourfold)},
 			Mechanism: "deltas to followers, entries to keepers", Packages: byKeepers},
-		{Role: "operator", What: "from accept to in force at the last of 600 routers", Unit: inSeconds, Budget: InForceSeconds,
-			Terms:     []Term{Line("in-force-ms-by-routers", Routers).By(0.001)},
-			Mechanism: "the next long poll is the word that a revision is in force", Packages: byKeepers},
+		{Role: "router", What: "processor time in that day's burst, the busiest of its real routers", Unit: inPercent, Budget: RouterPercent, Terms: []Term{Played(revisions, "a burst, busiest router, % of a core")},
+			Mechanism: "prepared beside the loop, put in force in it", Packages: onConfig},
+		{Role: "router", What: "memory in that day's burst, the most of its real routers", Unit: inMB, Budget: RouterMB, Terms: []Term{Played(revisions, "a burst, busiest router, MB")},
+			Mechanism: "the content in force and no past", Packages: onConfig},
+		{Role: "control machine", What: "processor time in that day's burst, the busiest keeper", Unit: inPercent, Terms: []Term{Played(revisions, "a burst, busiest keeper, % of a core")},
+			Mechanism: "one entry of the log a change", Packages: byKeepers},
+		{Role: "operator", What: "from the call to in force at the last router, changes one by one", Unit: inSeconds, Budget: InForceSeconds, Terms: inForce("one change after the other"),
+			Mechanism: "long polls that are answered at once", Packages: byKeepers},
+		{Role: "operator", What: "from the call to in force at the last router, burst", Unit: inSeconds, Budget: InForceSeconds, Terms: inForce("a burst"),
+			Mechanism: "a least gap of 500 ms between calls that bring changes", Packages: byKeepers},
+		{Role: "operator", What: "from the call to in force at the last router, burst, the leader killed", Unit: inSeconds, Budget: InForceSeconds, Terms: inForce("a burst, the leader killed halfway"),
+			Mechanism: "another leader within a second; calls are made again with their id", Packages: byKeepers},
 	}}}
 }
--- a/internal/capacity/rows_options.go
+++ b/internal/capacity/rows_options.go
@@ -9,7 +9,6 @@
 	entryBytes    = 80  // of a tenant's entry, as pointer and value
 	wordBytes     = 40  // of a router's word on a revision
 	peers         = 3   // that a router talks to in a round of gossip, a second long
-	pollsASec     = 0.5
 	relays        = 2 * Zones
 )
 
@@ -51,20 +50,22 @@
 			Mechanism: "a relay follows a keeper and is followed", Packages: unbuilt},
 		{Role: byZone, What: "bytes out of the control machines, burst", Unit: inBytesASec, Terms: []Term{Assumed(relays*burstAtFollower, "12 followers")},
 			Mechanism: "a relay follows a keeper and is followed", Packages: unbuilt},
-		{Role: keepers, What: "bytes at a router at rest", Unit: inBytesASec, Budget: RouterBytes, Terms: []Term{Line("router-bytes-by-engines", Engines), Assumed(pollsASec*callBytes, "a call of 700 bytes in 2 s")},
-			Mechanism: "a long poll", Packages: byKeepers},
-		{Role: keepers, What: "bytes at a router, burst", Unit: inBytesASec, Budget: RouterBytes,
-			Terms:     []Term{Line("router-bytes-by-engines", Engines), Assumed(burstAtFollower, "2 calls of 700 bytes, 20 entries of 80")},
+		{Role: keepers, What: "bytes at a router at rest", Unit: inBytesASec, Budget: RouterBytes, Terms: []Term{Line("router-bytes-by-engines", Engines), Line("follower-bytes-by-routers", Routers)},
+			Mechanism: "a long poll", Packages: onConfig},
+		{Role: keepers, What: "bytes at a router, burst, as many entries", Unit: inBytesASec, Budget: RouterBytes,
+			Terms:     []Term{Line("router-bytes-by-engines", Engines), Line("follower-bytes-by-changes", burstASec), Rise("whole-configuration-bytes-by-entries", burstASec-reloadsASec)},
+			Mechanism: "deltas, a least gap of 500 ms", Packages: onConfig},
+		{Role: keepers, What: "processor time at a router, burst", Unit: inPercent, Budget: RouterPercent, Terms: []Term{Line("router-cpu-by-configuration-changes", reloadsASec)},
+			Mechanism: "a reload a call that brings changes", Packages: onConfig},
+		{Role: keepers, What: "bytes out of the control machines, burst", Unit: inBytesASec, Terms: []Term{Line("keeper-bytes-by-changes", burstASec).Scaled(fourfold).By(ControlMachines)},
 			Mechanism: "deltas, a least gap of 500 ms", Packages: byKeepers},
-		{Role: keepers, What: "bytes out of the control machines, burst", Unit: inBytesASec, Terms: []Term{Assumed(Routers*burstAtFollower, "600 followers")},
-			Mechanism: "deltas, a least gap of 500 ms", Packages: byKeepers},
-		{Role: keepers, What: "processor time at a router, burst", Unit: inPercent, Budget: RouterPercent, Terms: []Term{Line("router-cpu-by-reloads", reloadsASec)},
-			Mechanism: "a reload a call that brings changes", Packages: byKeepers},
-		{Role: keepers, What: "processor time of a keeper, at rest, all 600 on it", Unit: inPercent, Terms: calls(pollsASec * Routers),
+		{Role: keepers, What: "processor time of the busiest keeper, at rest, 600 over 5", Unit: inPercent, Terms: []Term{Line("keeper-cpu-by-routers", Routers)},
+			Mechanism: "long polls", Packages: byKeepers},
+		{Role: keepers, What: "processor time of the busiest keeper, at rest, 2,400 over 5", Unit: inPercent, Terms: []Term{Line("keeper-cpu-by-routers", 4*Routers)},
 			Mechanism: "long polls", Packages: byKeepers},
-		{Role: keepers, What: "processor time of a keeper, burst, all 600 on it", Unit: inPercent, Terms: calls(reloadsASec * Routers),
+		{Role: keepers, What: "processor time of the busiest keeper, burst, 600 over 5", Unit: inPercent, Terms: []Term{Line("keeper-cpu-by-changes", burstASec).Scaled(fourfold)},
 			Mechanism: "deltas, a least gap of 500 ms", Packages: byKeepers},
-		{Role: keepers, What: "processor time of a keeper, burst, 4,000 on it", Unit: inPercent, Terms: calls(reloadsASec * 4000),
+		{Role: keepers, What: "processor time of the busiest keeper, burst, 1,800 over 5", Unit: inPercent, Terms: []Term{Line("keeper-cpu-by-changes", burstASec).Scaled(3 * fourfold)},
 			Mechanism: "deltas, a least gap of 500 ms", Packages: byKeepers},
 	}}}
 }
--- /dev/null
+++ b/internal/fleettest/slopes_following_test.go
@@ -0,0 +1,69 @@
+package fleettest
+
+import (
+	"encoding/json"
+	"fmt"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"windflow/internal/decide/rollout"
+)
+
+// What following the keepers costs a router of the size that is designed for, by the changes a second that come to it one by
+// one: from two a second on several come in one call.
+func TestSlopesOfAFollowingRouter(t *testing.T) {
+	rows := slopes(t)
+	rates := []float64{0, 0.25, 0.5, 1, 2}
+	engines := Engines(1200)
+	b := NewBoard(t, engines)
+	var routers []*Process
+	done := make(chan struct{})
+	var ended []chan error
+	for i, aSecond := range rates {
+		c := Config{Name: fmt.Sprint("r", i), Index: i, Routers: 600, Board: b.Addr, Engines: engines, Tenants: 1000, OverWorth: 0.1}
+		own := New(t) // keepers have their folders by name, so that each group needs a folder of its own
+		k := own.Keepers(3, c)
+		c.Own = map[string]any{"keepers": k.Doors(t).Section(filepath.Join(own.Dir, "follower"), 0)}
+		p := own.Router(c)
+		p.Ready()
+		change := func(n int) rollout.Change {
+			return rollout.Change{ID: fmt.Sprint("pace-", n), Put: map[string]json.RawMessage{
+				"/settings/over-share-worth": json.RawMessage(fmt.Sprintf("0.%06d", n+1))}}
+		}
+		revision, _ := k.Change(0, change(0))
+		p.AwaitRevision(revision)
+		routers = append(routers, p.Process)
+		if aSecond == 0 {
+			continue
+		}
+		over := make(chan error, 1)
+		ended = append(ended, over)
+		go func() {
+			pace := time.NewTicker(time.Duration(float64(time.Second) / aSecond))
+			defer pace.Stop()
+			for n := 1; ; n++ {
+				select {
+				case <-done:
+					over <- nil
+					return
+				case <-pace.C:
+				}
+				if _, _, err := k.TryChange(0, change(n)); err != nil {
+					over <- fmt.Errorf("%v changes a second: %w", aSecond, err)
+					return
+				}
+			}
+		}()
+	}
+	cpu, mb := costs(span, routers...)
+	close(done)
+	for _, over := range ended {
+		if err := <-over; err != nil {
+			t.Fatal(err)
+		}
+	}
+	const conditions = "a router of 1,200 engines and 1,000 tenants that follows 3 keepers, each change one entry and one call; no clients; 20 s"
+	rows.add("router-cpu-by-configuration-changes", "router", "configuration changes a second", percent, pairs(rates, cpu), conditions)
+	rows.add("router-memory-by-configuration-changes", "router", "configuration changes a second", mega, pairs(rates, mb), conditions)
+}
