Hand new connections to the poller behind the events it has in hand

Seen: TestPredecessorAtEachStep under the race detector, on a machine with a load of 40 to 290, failed in 2 of 20 runs: the client's first read gave EOF, right after the door had said ready. Its connection was closed by nobody: no session had ended, no log line.

The loop closes a connection (here the door's, after its answer) whose peer closes too; the poller has that event in hand; the system gives the number to the next connection, and AddConn enters it; then the poller takes the old event for the new connection's and closes that with io.EOF. Any close in the loop can do it, also the one that nbio makes when a write fails: clients that are turned away, engines' connections that end at once and are taken for refusals.

Ruled out: a port that two tests had (the test holds its listener); the bound on sessions (a refusal is a packet, and logged); a close at the start (no log line of it); an event order between accept and first data (nbio calls OnOpen before it listens for events).

Change: new connections, accepted, dialled or taken over, go to nbio in the poller's own goroutine, two turns after they came: the events that it then has were gathered after the former connection of that number was closed. A pair of sockets wakes it. What is written on a connection that is taken over waits until then. With that Net.publish, which only ordered memory, is not needed.

--- a/internal/netio/listener.go
+++ b/internal/netio/listener.go
@@ -93,12 +93,20 @@
 		return errors.Join(err, std.Close()) // nbio leaves it open where it could not copy the descriptor
 	}
 	_ = c.SetNoDelay(true)
-	c.SetSession(&socket{net: l.net, c: c, from: l})
-	l.net.publish()
+	s := &socket{net: l.net, c: c}
+	c.SetSession(s)
 	l.accepted.Add(1)
-	if _, err = l.net.engine.AddConn(c); err != nil {
-		l.accepted.Add(-1)
-		l.net.log.Warn("accept failed", "err", err) // nbio has closed it, and the loop hears of that
-	}
+	l.net.turns.add(c, func(err error) {
+		l.net.loop.Post(func() {
+			<-l.unsettled
+			l.accepted.Add(-1)
+			if err != nil {
+				l.net.log.Warn("accept failed", "err", err) // nbio has closed it
+				return
+			}
+			s.h = l.accept()
+			s.h.Opened(s)
+		})
+	})
 	return nil
 }
--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -84,6 +84,7 @@
 	finishing int  // touched in the loop only
 	ending    bool // see End; touched in the loop only
 
+	turns      *turns
 	mu         sync.Mutex
 	drained    *sync.Cond
 	inbound    int
@@ -105,14 +106,10 @@
 	if err != nil {
 		return errors.Join(err, std.Close())
 	}
-	s := &socket{net: n, c: c, h: h}
+	s := &socket{net: n, h: h, adopts: true}
 	c.SetSession(s)
-	n.publish()
-	h.Opened(s) // it is up; what is read is posted, and so comes later
-	if _, err := n.engine.AddConn(c); err != nil {
-		s.Close()
-		return err
-	}
+	h.Opened(s) // it is up; what is written until the poller has it waits
+	n.turns.add(c, func(err error) { n.loop.Post(func() { s.adopted(c, err) }) })
 	return nil
 }
 
@@ -123,19 +120,10 @@
 	n.drained = sync.NewCond(&n.mu)
 	n.engine = nbio.NewEngine(nbio.Config{Name: "windflow", Network: "tcp", NPoller: 1,
 		ReadBufferSize: readBuffer, MaxWriteBufferSize: maxUnwritten})
-	n.engine.OnOpen(func(c *nbio.Conn) {
-		if s, ok := c.Session().(*socket); ok && s.from != nil {
-			loop.Post(func() {
-				<-s.from.unsettled
-				s.from.accepted.Add(-1)
-				s.h = s.from.accept()
-				s.h.Opened(s)
-			})
-		}
-	})
 	n.engine.OnData(func(c *nbio.Conn, b []byte) {
 		s, ok := c.Session().(*socket)
 		if !ok {
+			n.turns.turn() // only its own connection has no socket
 			return
 		}
 		if n.drop(c, len(b)) {
@@ -171,7 +159,11 @@
 			return nil, err
 		}
 	}
-	if err := n.engine.Start(); err != nil {
+	err := n.engine.Start()
+	if err == nil {
+		n.turns, err = newTurns(n.engine)
+	}
+	if err != nil {
 		if lis != nil {
 			_ = lis.Close()
 		}
@@ -215,6 +207,7 @@
 		l.Close()
 		<-l.ended
 	}
+	n.turns.close()
 	stopped := make(chan struct{})
 	go func() {
 		n.engine.Stop()
@@ -226,14 +219,6 @@
 	}
 }
 
-// publish lets the poller's goroutine see what was written about a connection before it is handed over: nbio passes it
-// through the system's poller, which Go's memory model knows nothing of. The other side of it is drop, which OnData calls
-// first.
-func (n *Net) publish() {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-}
-
 // drop tells whether what came on a connection is dropped, and closes one that sends too much of that.
 func (n *Net) drop(c *nbio.Conn, size int) bool {
 	n.mu.Lock()
@@ -285,34 +270,34 @@
 		s.fail(os.ErrDeadlineExceeded)
 	})
 	go func() {
-		c, err := n.connect(addr, clock.Duration(timeout), s)
-		n.loop.Post(func() {
-			if err != nil {
-				s.fail(err)
-				return
-			}
-			s.up(c)
-		})
+		if err := n.connect(addr, clock.Duration(timeout), s); err != nil {
+			n.loop.Post(func() { s.fail(err) })
+		}
 	}()
 	return s
 }
 
-// connect dials and hands the connection to the poller; it runs in a goroutine of its own.
-func (n *Net) connect(addr string, timeout time.Duration, s *socket) (*nbio.Conn, error) {
+// connect dials and has the poller take the connection; it runs in a goroutine of its own.
+func (n *Net) connect(addr string, timeout time.Duration, s *socket) error {
 	d := net.Dialer{Timeout: timeout, KeepAlive: -1}
 	std, err := d.Dial("tcp", addr)
 	if err != nil {
-		return nil, err
+		return err
 	}
 	c, err := nbio.NBConn(std)
 	if err != nil {
-		return nil, errors.Join(err, std.Close())
-	}
-	c.SetSession(s)
-	n.publish()
-	if _, err := n.engine.AddConn(c); err != nil {
-		return nil, err
+		return errors.Join(err, std.Close())
 	}
 	_ = c.SetNoDelay(true)
-	return c, nil
+	c.SetSession(s)
+	n.turns.add(c, func(err error) {
+		n.loop.Post(func() {
+			if err != nil {
+				s.fail(err)
+				return
+			}
+			s.up(c)
+		})
+	})
+	return nil
 }
--- a/internal/netio/socket.go
+++ b/internal/netio/socket.go
@@ -17,10 +17,11 @@
 // socket is one connection; all but c's own calls belongs to the loop's goroutine.
 type socket struct {
 	net      *Net
-	c        *nbio.Conn // nil while it is being dialled
-	from     *Listener  // that accepted it; nil for one that was dialled
+	c        *nbio.Conn // nil while it is being dialled, or adopted
 	h        Handler
 	dialing  *router.Timer
+	adopts   bool   // it is up, and the poller has not taken it yet
+	early    []byte // written until then
 	closed   bool
 	finishes bool
 	ending   *router.Timer // of a Finish
@@ -41,6 +42,24 @@
 	s.h.Opened(s)
 }
 
+// adopted goes on with a connection of another process that the poller has taken, or that it could not take.
+func (s *socket) adopted(c *nbio.Conn, err error) {
+	s.adopts = false
+	switch {
+	case err != nil:
+		s.shut(err)
+	case s.closed:
+		_ = c.Close()
+	default:
+		s.c = c
+		if len(s.early) > 0 {
+			_ = s.Write(s.early)
+		}
+		s.early = nil
+		s.flush()
+	}
+}
+
 // fail ends a dial; a connection that comes up later is closed by up.
 func (s *socket) fail(err error) {
 	if s.c == nil {
@@ -92,6 +111,10 @@
 }
 
 func (s *socket) Write(b []byte) error {
+	if s.adopts && !s.closed {
+		s.early = append(s.early, b...)
+		return nil
+	}
 	if s.c == nil || s.closed {
 		return net.ErrClosed
 	}
