--- a/internal/fleettest/rig.go
+++ b/internal/fleettest/rig.go
@@ -1,6 +1,3 @@
-// Package fleettest is what tests of a whole fleet are built from: real processes of the built program, hollow routers (the
-// real follower of the notice board and the real module on driven statements, many to a process), a stand-in notice board,
-// stand-in engines, and links that cut, fall silent and delay. No program links it.
 package fleettest
 
 import (
--- a/internal/fleettest/slopes_keepers_test.go
+++ b/internal/fleettest/slopes_keepers_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"slices"
+	"sync"
 	"testing"
 	"time"
 
@@ -159,14 +160,18 @@
 		fmt.Sprintf("%s; mean of the routers; level past %d changes a second: %.0f at %v", conditions, linear, perRouter[grows], rates[grows]))
 }
 
-// pace makes changes at an even pace until the function that it gives is called.
+// pace makes changes at an even pace, whether or not those before have been answered, until the function that it gives is
+// called. It fails the test where an answer does not come or the pace was not kept.
 func (f *following) pace(aSecond float64) (end func()) {
 	if aSecond == 0 {
 		return func() {}
 	}
 	done, ended := make(chan struct{}), make(chan struct{})
+	began, n := time.Now(), 0
 	go func() {
 		defer close(ended)
+		var open sync.WaitGroup
+		defer open.Wait()
 		pace := time.NewTicker(time.Duration(float64(time.Second) / aSecond))
 		defer pace.Stop()
 		for {
@@ -175,15 +180,24 @@
 				return
 			case <-pace.C:
 			}
-			if _, _, err := f.keepers.TryChange(0, f.next()); err != nil {
-				f.t.Errorf("%v changes a second: %v", aSecond, err)
-				return
-			}
+			n++
+			c := f.next()
+			open.Add(1)
+			go func() {
+				defer open.Done()
+				if _, _, err := f.keepers.TryChange(0, c); err != nil {
+					f.t.Errorf("%v changes a second: %v", aSecond, err)
+				}
+			}()
 		}
 	}()
 	return func() {
 		close(done)
+		took := time.Since(began).Seconds()
 		<-ended
+		if made := float64(n) / took; made < 0.9*aSecond {
+			f.t.Errorf("%.2f changes a second were made, want %v", made, aSecond)
+		}
 	}
 }
 
