--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -215,7 +215,7 @@
 			Mechanism: "the content in force and no past", Packages: onConfig},
 		{Role: "control machine", What: "processor time in that day's burst, the busiest keeper", Unit: inPercent, Terms: []Term{Played(revisions, "a burst, busiest keeper, % of a core")},
 			Mechanism: "one entry of the log a change", Packages: byKeepers},
-		{Role: "operator", What: "from the call to in force at the last router, changes one by one", Unit: inSeconds, Budget: InForceSeconds, Terms: inForce("one change after the other"),
+		{Role: "operator", What: "from the call to in force at the last of 600 routers, the slowest of 40 changes one by one", Unit: inSeconds, Budget: InForceSeconds, Terms: []Term{Line("in-force-worst-ms-by-routers", Routers).By(0.001)},
 			Mechanism: "long polls that are answered at once", Packages: byKeepers},
 		{Role: "operator", What: "from the call to in force at the last router, burst", Unit: inSeconds, Budget: InForceSeconds, Terms: inForce("a burst"),
 			Mechanism: "a least gap of 500 ms between calls that bring changes", Packages: byKeepers},
