--- a/brain/scalefleet_test.go
+++ b/brain/scalefleet_test.go
@@ -35,7 +35,6 @@
 	after   float64 // least share of the worth in the last four seconds
 	short   bool    // it is played in CI too
 	over    float64 // seconds within which all loads have to have moved from what is lost
-	idle    int     // most engines that were up in a window and got nothing in it, over all windows
 	spread  float64 // most sends to one engine over the mean, over all windows of warm engines
 }
 
@@ -52,27 +51,27 @@
 	rolled := gateways * 430 / 600
 	rack := max(engines/50*2/3, 4) // of 50 in the fleet; a third of its machines are gateways
 	return []scaleDay{
-		{name: "calm", served: 0.98, after: 0.98, idle: 0, spread: 2, windows: []scaleWindow{{name: "calm", from: 3 * s, to: 12 * s}},
+		{name: "calm", served: 0.98, after: 0.98, spread: 2.1, windows: []scaleWindow{{name: "calm", from: 3 * s, to: 12 * s}},
 			day: make(func(d *fleetDay) { d.bad, d.lasts = 0, 12*s })},
-		{name: "zone lost, back cold", short: true, served: 0.9, after: 0.9, idle: 0, spread: 3, windows: lostWindows(),
+		{name: "zone lost, back cold", short: true, served: 0.97, after: 0.97, spread: 2.4, windows: lostWindows(),
 			day: make(func(d *fleetDay) { lost(d); d.wide = 1 })},
-		{name: "region lost, back cold", served: 0.5, after: 0.9, idle: 20, spread: 3, windows: lostWindows(),
+		{name: "region lost, back cold", served: 0.85, after: 0.95, spread: 3, windows: lostWindows(),
 			day: make(func(d *fleetDay) { lost(d); d.wide = 3 })},
-		{name: "region lost, back cold, a third less load", short: true, served: 0.8, after: 0.9, idle: 20, spread: 3, windows: lostWindows(),
+		{name: "region lost, back cold, a third less load", short: true, served: 0.96, after: 0.96, spread: 2.7, windows: lostWindows(),
 			day: make(func(d *fleetDay) { lost(d); d.wide, d.load = 3, 0.4 })},
-		{name: "rack drained", short: true, served: 0.95, after: 0.97, idle: 0, spread: 3, over: 9,
+		{name: "rack drained", short: true, served: 0.99, after: 0.99, spread: 2, over: 9,
 			windows: []scaleWindow{{name: "without it", from: 6500 * ms, to: 12 * s}},
 			day:     make(func(d *fleetDay) { d.rack, d.drained, d.bad, d.lasts = rack, true, 0, 12*s })},
-		{name: "rack lost", short: true, served: 0.95, after: 0.97, idle: 0, spread: 3, over: 9,
+		{name: "rack lost", short: true, served: 0.99, after: 0.99, spread: 2.1, over: 9,
 			windows: []scaleWindow{{name: "without it", from: 6500 * ms, to: 12 * s}},
 			day:     make(func(d *fleetDay) { d.rack, d.told, d.bad, d.lasts = rack, 2800*ms, 0, 12*s })},
-		{name: "regions apart, joined", served: 0.8, after: 0.9, idle: 0, spread: 3,
+		{name: "regions apart, joined", served: 0.96, after: 0.97, spread: 2.9,
 			windows: []scaleWindow{{name: "apart", from: 4 * s, to: 11 * s}, {name: "joined", from: 13 * s, to: 18 * s}},
 			day:     make(func(d *fleetDay) { d.split, d.wide, d.joinFor, d.lasts = true, 3, 8*s, 18*s })},
-		{name: "gateways restarted in a row", short: true, served: 0.9, after: 0.95, idle: 0, spread: 3,
+		{name: "gateways restarted in a row", short: true, served: 0.97, after: 0.98, spread: 2.2,
 			windows: []scaleWindow{{name: "restarts", from: 3 * s, to: 18 * s}},
 			day:     make(func(d *fleetDay) { d.roll, d.joinFor, d.lasts = rolled, 15*s, 22*s })},
-		{name: "machines restarted and replaced in a row", short: true, served: 0.9, after: 0.95, idle: 20, spread: 3,
+		{name: "machines restarted and replaced in a row", short: true, served: 0.91, after: 0.95, spread: 1.6,
 			windows: []scaleWindow{{name: "restarts", from: 3 * s, to: 18 * s}},
 			day:     make(func(d *fleetDay) { d.roll, d.replace, d.joinFor, d.lasts = rolled/3, rolled-rolled/3, 15*s, 33*s })},
 	}
@@ -144,9 +143,9 @@
 		idle, spread, deviation := spreadOf(w.counted)
 		figures[w.name+": engines"], figures[w.name+": idle"] = float64(len(w.counted)), float64(idle)
 		figures[w.name+": most over mean"], figures[w.name+": deviation over mean"] = spread, deviation
-		if len(w.counted) == 0 || idle > d.idle || !w.cold && spread > d.spread {
-			t.Errorf("%s: %d engines, %d of them idle, want at most %d; the most sent to one %.2f of the mean, want at most %.2f",
-				w.name, len(w.counted), idle, d.idle, spread, d.spread)
+		if len(w.counted) == 0 || idle > 0 || !w.cold && spread > d.spread {
+			t.Errorf("%s: %d engines, %d of them got nothing; the most sent to one %.2f of the mean, want at most %.2f",
+				w.name, len(w.counted), idle, spread, d.spread)
 		}
 		t.Logf("%s: %d engines, %d idle, most %.2f of the mean, deviation %.2f of it", w.name, len(w.counted), idle, spread, deviation)
 	}
