--- a/internal/capacity/row.go
+++ b/internal/capacity/row.go
@@ -40,7 +40,6 @@
 	times         float64
 	why           string // of a given figure
 	assumed       bool
-	scaled        float64 // how many times the size that a slope was measured with, in a size that is not its x
 }
 
 // Line is the cost at a size, by a slope's line.
@@ -64,12 +63,6 @@
 	return t
 }
 
-// Scaled takes a term for a fleet so many times as large as the one that its slope was measured with, as if all of it grew so.
-func (t Term) Scaled(times float64) Term {
-	t.scaled = times
-	return t.By(times)
-}
-
 // Measured is what rows are reckoned from.
 type Measured struct {
 	Slopes []Slope
@@ -89,7 +82,6 @@
 func (m Measured) Reckon(r Row) Figure {
 	var f Figure
 	for _, t := range r.Terms {
-		f.Far = max(f.Far, t.scaled)
 		switch {
 		case t.slope != "":
 			s, ok := m.slope(t.slope)
--- a/internal/capacity/rows.go
+++ b/internal/capacity/rows.go
@@ -29,10 +29,9 @@
 const (
 	day           = 86400.0 // seconds
 	changesASec   = ChangesADay / day
-	burstASec     = 20.0          // changes of configuration
-	fourfold      = Routers / 150 // of what keepers' slopes by changes were measured with
-	reloadsASec   = 2.0           // at most, by a follower's least gap of 500 ms
-	msAsPercent   = 0.1           // of a core, of a millisecond in one second
+	burstASec     = 20.0 // changes of configuration
+	reloadsASec   = 2.0  // at most, by a follower's least gap of 500 ms
+	msAsPercent   = 0.1  // of a core, of a millisecond in one second
 	machines      = Routers + Engines
 	enginesADay   = Restarts * Engines / machines
 	routersADay   = Restarts - enginesADay
@@ -200,14 +199,14 @@
 			Terms:     []Term{Line("router-cpu-by-configuration-changes", reloadsASec)},
 			Mechanism: "a least gap of 500 ms between calls that bring changes", Packages: onConfig},
 		{Role: "router", What: "bytes for control at 20 changes a second of one entry, configuration by revision", Unit: inBytesASec, Budget: RouterBytes,
-			Terms:     []Term{Line("router-bytes-by-engines", Engines), Line("follower-bytes-by-changes", burstASec)},
+			Terms:     []Term{Line("router-bytes-by-engines", Engines), Line("follower-bytes-by-routers-in-a-burst", Routers)},
 			Mechanism: "deltas: the last value of an entry that changed twice", Packages: onConfig},
 		{Role: "router", What: "bytes for control at 20 changes a second of as many entries, configuration by revision", Unit: inBytesASec, Budget: RouterBytes,
-			Terms:     []Term{Line("router-bytes-by-engines", Engines), Line("follower-bytes-by-changes", burstASec), Rise("whole-configuration-bytes-by-entries", burstASec-reloadsASec)},
+			Terms:     []Term{Line("router-bytes-by-engines", Engines), Line("follower-bytes-by-routers-in-a-burst", Routers), Rise("whole-configuration-bytes-by-entries", burstASec-reloadsASec)},
 			Mechanism: "deltas; each entry has to get there", Packages: onConfig},
-		{Role: "control machine", What: "the busiest keeper's processor time at 20 changes a second, as four times that with 150 routers", Unit: inPercent, Terms: []Term{Line("keeper-cpu-by-changes", burstASec).Scaled(fourfold)},
+		{Role: "control machine", What: "the busiest keeper's processor time at 20 changes a second, 600 followers over 5", Unit: inPercent, Terms: []Term{Line("keeper-cpu-by-routers-in-a-burst", Routers)},
 			Mechanism: "one entry of the log a change, one fsync for several", Packages: byKeepers},
-		{Role: "control machine", What: "a keeper's bytes at 20 changes a second, as four times that with 150 routers", Unit: inBytesASec, Terms: []Term{Line("keeper-bytes-by-changes", burstASec).Scaled(fourfold)},
+		{Role: "control machine", What: "a keeper's bytes at 20 changes a second, 600 followers over 5", Unit: inBytesASec, Terms: []Term{Line("keeper-bytes-by-routers-in-a-burst", Routers)},
 			Mechanism: "deltas to followers, entries to keepers", Packages: byKeepers},
 		{Role: "router", What: "processor time in that day's burst, the busiest of its real routers", Unit: inPercent, Budget: RouterPercent, Terms: []Term{Played(revisions, "a burst, busiest router, % of a core")},
 			Mechanism: "prepared beside the loop, put in force in it", Packages: onConfig},
