Let the poller hand on what came in a standstill before the loop's timers run

Cause: Loop.Step runs timers that are due at once; the poller's goroutine has read nothing yet.

Ruled out: the engine, the handover (the attempt ended in the old process), the stale event of a former connection (its mend was in).

Change: a timer that is over 400 ms late has the loop ask the poller for two turns first; timers wait for that, 200 ms at most.

--- a/internal/netio/netio.go
+++ b/internal/netio/netio.go
@@ -163,6 +163,9 @@
 	if err == nil {
 		n.turns, err = newTurns(n.engine)
 	}
+	if err == nil {
+		loop.Behind = n.turns.pass
+	}
 	if err != nil {
 		if lis != nil {
 			_ = lis.Close()
--- a/internal/netio/turns.go
+++ b/internal/netio/turns.go
@@ -28,7 +28,7 @@
 }
 
 type newcomer struct {
-	c    *nbio.Conn
+	c    *nbio.Conn // nil for one that only waits; see pass
 	then func(error)
 }
 
@@ -71,6 +71,18 @@
 	t.wake()
 }
 
+// pass calls f once the poller has handed on what had come on its connections by now, or has been stopped.
+func (t *turns) pass(f func()) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.stopped {
+		f()
+		return
+	}
+	t.come = append(t.come, newcomer{then: func(error) { f() }})
+	t.wake()
+}
+
 // wake sees to it that there is a turn to come.
 func (t *turns) wake() {
 	if !t.woken {
@@ -92,7 +104,10 @@
 	}
 	t.mu.Unlock()
 	for _, n := range due {
-		_, err := t.engine.AddConn(n.c)
+		var err error
+		if n.c != nil {
+			_, err = t.engine.AddConn(n.c)
+		}
 		n.then(err)
 	}
 }
@@ -103,7 +118,9 @@
 	defer t.mu.Unlock()
 	t.stopped = true
 	for _, n := range append(t.next, t.come...) {
-		_ = n.c.Close()
+		if n.c != nil {
+			_ = n.c.Close()
+		}
 	}
 	t.next, t.come = nil, nil
 	_ = t.own.Close()
--- a/internal/router/loop.go
+++ b/internal/router/loop.go
@@ -13,11 +13,17 @@
 type Loop struct {
 	// Settle runs at the end of each step, when all that was ready has been gathered.
 	Settle func()
+	// Behind, where it is set, is called when the loop finds that it stood still: with the whole process, as a rule, so that
+	// what came meanwhile has not been posted yet. It has caughtUp called, from any goroutine, once that is done. Until then
+	// no timer runs: an answer that has come is not to be taken for one that did not.
+	Behind func(caughtUp func())
 
 	clock  clock.Clock
 	timers timerHeap
 	due    []*Timer // of the step at hand
 	seq    uint64
+	heldTo float64 // when timers run again at the latest; 0: they do
+	heard  float64 // when the loop had last caught up, or given that up
 
 	mu    sync.Mutex
 	inbox []func()
@@ -25,6 +31,13 @@
 	wake  chan struct{}
 }
 
+const (
+	// stoodStill is how late a timer has to be, in milliseconds, for the loop to count as having stood still.
+	stoodStill = 400.0
+	// catchUp bounds how long timers wait then, in milliseconds.
+	catchUp = 200.0
+)
+
 // NewLoop returns a loop on that clock.
 func NewLoop(c clock.Clock) *Loop {
 	return &Loop{clock: c, wake: make(chan struct{}, 1), Settle: func() {}}
@@ -93,7 +106,7 @@
 	// Timers that are set meanwhile wait for the next step, also where they are due: one that sets itself anew for a time that
 	// has passed would hold the loop for ever.
 	due := l.due[:0]
-	for now := l.Now(); len(l.timers) > 0 && l.timers[0].at <= now; did = true {
+	for now := l.Now(); len(l.timers) > 0 && l.timers[0].at <= now && !l.held(now); did = true {
 		due = append(due, heap.Pop(&l.timers).(*Timer))
 	}
 	for i, t := range due {
@@ -110,6 +123,23 @@
 	return did
 }
 
+// held tells whether timers that are due have to wait, since the loop stood still and what came meanwhile is on its way.
+func (l *Loop) held(now float64) bool {
+	switch {
+	case l.heldTo > now:
+		return true
+	case l.heldTo > 0:
+		l.heldTo, l.heard = 0, now // it never said so
+	case l.Behind != nil && now-max(l.timers[0].at, l.heard) > stoodStill:
+		l.heldTo = now + catchUp
+		l.Behind(func() {
+			l.Post(func() { l.heldTo, l.heard = 0, l.Now() })
+		})
+		return true
+	}
+	return false
+}
+
 // Run steps until stop is closed.
 func (l *Loop) Run(stop <-chan struct{}) {
 	sleep := time.NewTimer(0)
@@ -125,7 +155,7 @@
 		}
 		wait := time.Hour
 		if len(l.timers) > 0 {
-			wait = max(clock.Duration(l.timers[0].at-l.Now()), 0)
+			wait = max(clock.Duration(max(l.timers[0].at, l.heldTo)-l.Now()), 0)
 		}
 		sleep.Reset(wait)
 		select {
