Have the tests' stand-in process ask again when it is told to wait, and outlive its link's end

Cause, both in the test: its stand-in for a new process says hello and waits for the state for ever, where the protocol has it ask again when it is told to wait (takeover.Wait: 'not now; ask again'). The router said wait, rightly: it had not yet heard of the end of the process before, which the test had just closed. And its channel was closed with the link while a message was still in hand.

Change: the stand-in asks again at each wait; it is told of the link's end beside the messages. What is checked is the same.

--- a/internal/node/steps_test.go
+++ b/internal/node/steps_test.go
@@ -73,39 +73,6 @@
 	return h
 }
 
-// actor plays one side of a takeover; heard has the kinds of message that came, but for those that tell what runs.
-type actor struct {
-	link  *handover.Link
-	heard chan handover.Message
-}
-
-func act(conn *net.UnixConn) *actor {
-	a := &actor{heard: make(chan handover.Message, 256)}
-	a.link = handover.Start(conn, func(m handover.Message) {
-		for _, f := range m.Files {
-			_ = f.Close()
-		}
-		if _, known := messages[m.Kind]; known {
-			a.heard <- m
-		}
-	}, func(error) { close(a.heard) }, discard)
-	return a
-}
-
-func (a *actor) want(t *testing.T, kind string) handover.Message {
-	t.Helper()
-	for m := range a.heard {
-		if m.Kind == kind {
-			return m
-		}
-		if m.Kind != "hello" && m.Kind != "wait" && m.Kind != "state" { // each may come again
-			t.Fatalf("%s came where %s was due", m.Kind, kind)
-		}
-	}
-	t.Fatal("the link ended before", kind)
-	return handover.Message{}
-}
-
 func (f *fleet) dir() string { return strings.TrimPrefix(f.env[1], "TMPDIR=") }
 
 // place takes a place among the processes of the fleet's router.
@@ -181,7 +148,7 @@
 			t.Fatal(err)
 		}
 		b := act(conn)
-		if m, ok := <-b.heard; ok && m.Kind == "hello" { // others only look whether somebody lives
+		if m, ok := b.next(); ok && m.Kind == "hello" { // others only look whether somebody lives
 			a = b
 			for _, key := range keys(t, next.of(t, "hello")) {
 				if !slices.Contains(keys(t, m), key) {
@@ -318,6 +285,7 @@
 				a := act(conn)
 				h := next.hello(t, p)
 				play := func() {
+					a.ask = func() { a.link.Send(h) }
 					if step > 0 {
 						a.link.Send(h)
 						a.link.Send(h) // twice
