--- a/internal/netio/reused_test.go
+++ b/internal/netio/reused_test.go
@@ -100,3 +100,25 @@
 		t.Errorf("the new connection was closed, which nobody did: %v", <-all[4].closed)
 	}
 }
+
+// Where the system gives no Unix sockets, the poller is woken over TCP. It guards against a router that does not start there.
+func TestPairsOfSockets(t *testing.T) {
+	for name, make := range map[string]func() ([2]net.Conn, error){"unix": unixPair, "tcp": tcpPair} {
+		ends, err := make()
+		if err != nil {
+			t.Fatal(name, err)
+		}
+		for i, to := range ends {
+			if _, err := ends[1-i].Write([]byte{byte(i)}); err != nil {
+				t.Error(name, err)
+			}
+			b := []byte{9}
+			if _, err := to.Read(b); err != nil || b[0] != byte(i) {
+				t.Error(name, b, err)
+			}
+		}
+		for _, c := range ends {
+			_ = c.Close()
+		}
+	}
+}
--- a/internal/netio/turns.go
+++ b/internal/netio/turns.go
@@ -1,6 +1,7 @@
 package netio
 
 import (
+	"errors"
 	"net"
 	"os"
 	"sync"
@@ -34,18 +35,9 @@
 
 // newTurns begins the turns of a poller; it takes two descriptors.
 func newTurns(engine *nbio.Engine) (*turns, error) {
-	pair, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC|syscall.SOCK_NONBLOCK, 0)
+	ends, err := pair()
 	if err != nil {
-		return nil, os.NewSyscallError("socketpair", err)
-	}
-	var ends [2]net.Conn
-	for i, fd := range pair {
-		f := os.NewFile(uintptr(fd), "turns")
-		ends[i], err = net.FileConn(f)
-		_ = f.Close()
-		if err != nil {
-			return nil, err
-		}
+		return nil, err
 	}
 	c, err := nbio.NBConn(ends[1])
 	if err != nil {
@@ -58,6 +50,58 @@
 	return t, nil
 }
 
+// pair gives two ends of one connection. Where the system gives no Unix sockets, they are TCP over loopback.
+func pair() (ends [2]net.Conn, err error) {
+	if ends, err = unixPair(); err == nil {
+		return ends, nil
+	}
+	return tcpPair()
+}
+
+func tcpPair() (ends [2]net.Conn, err error) {
+	lis, err := net.Listen("tcp4", "127.0.0.1:0")
+	if err != nil {
+		return ends, err
+	}
+	defer lis.Close()
+	if ends[0], err = net.Dial("tcp4", lis.Addr().String()); err != nil {
+		return ends, err
+	}
+	for { // another process may have come first
+		if ends[1], err = lis.Accept(); err != nil {
+			return ends, errors.Join(err, ends[0].Close())
+		}
+		if ends[1].RemoteAddr().String() == ends[0].LocalAddr().String() {
+			return ends, nil
+		}
+		_ = ends[1].Close()
+	}
+}
+
+func unixPair() (ends [2]net.Conn, err error) {
+	fds, err := syscall.Socketpair(syscall.AF_UNIX, syscall.SOCK_STREAM|syscall.SOCK_CLOEXEC|syscall.SOCK_NONBLOCK, 0)
+	if err != nil {
+		return ends, os.NewSyscallError("socketpair", err)
+	}
+	for i, fd := range fds {
+		f := os.NewFile(uintptr(fd), "turns")
+		conn, bad := net.FileConn(f)
+		_ = f.Close()
+		if err = errors.Join(err, bad); bad == nil {
+			ends[i] = conn
+		}
+	}
+	if err == nil {
+		return ends, nil
+	}
+	for _, c := range ends {
+		if c != nil {
+			_ = c.Close()
+		}
+	}
+	return [2]net.Conn{}, err
+}
+
 // add has the poller take a connection, and calls then in the poller's goroutine, before anything that is read on it is
 // heard of. With an error the connection has been closed.
 func (t *turns) add(c *nbio.Conn, then func(error)) {
