Count an engine as failing again when its try renews the evidence

Seen: TestKeptSumsDecideAsPlainOnes with 8,000 cases in place of 100: '0 engines are ejected, want 1' after 2,465.

Cause: send moves failAt of an engine that is down, which lifts its failing share over the mark again, and nobody was told.

Change: send notes it. 12,000 cases pass.

--- a/brain/rules.go
+++ b/brain/rules.go
@@ -39,6 +39,7 @@
 	c.due = min(c.due, c.dueOf(r))
 	if e.lost >= downAfter {
 		e.failAt = c.now // one try a rest, whenever it ends
+		c.noteFailed(e)
 	}
 	if c.now < e.warmAt {
 		e.spent = append(e.spent, spend{c.now, c.usual(r.c)})
