--- a/brain/sums_test.go
+++ b/brain/sums_test.go
@@ -194,3 +194,43 @@
 		}
 	})
 }
+
+// An engine that starts anew while it is cold comes by a ration again, by its new start: the twins above share the code that says so.
+func TestRationBeginsAnewWithTheEngine(t *testing.T) {
+	cfg := fleetConfig(fleetDay{seed: 1, gateways: 60, cores: 8}, 7)
+	w := newWorld(t, cfg)
+	list := engines(40)
+	for _, born := range []time.Duration{w.now - time.Second, w.now + 2*time.Second} {
+		w.now = born + time.Second
+		list[0].Born = born
+		w.list(ListFull, list...)
+		w.c.warm()
+		e := w.c.byID[1]
+		if due := e.ration.Next(); due <= millis(born) || due > millis(e.warmAt) {
+			t.Errorf("started at %v, its next chunk is due at %v ms", born, due)
+		}
+	}
+}
+
+// A try of an engine that is down renews the evidence against it, and it counts among those that fail.
+func TestTryOfAnEngineThatIsDownCounts(t *testing.T) {
+	w := newWorld(t, twoClasses())
+	w.list(ListFull, engines(1)...)
+	w.c.now = w.now
+	e := w.c.live[0]
+	for range downAfter + 1 {
+		w.c.blame(e, 1, failGain)
+		e.lost++
+	}
+	w.now += evidenceLife
+	w.c.now = w.now
+	if got := w.c.ejected(); got != 0 || w.c.failing(e) >= ejectAt {
+		t.Fatalf("%v engines are ejected after the evidence has faded", got)
+	}
+	if w.ask("quick", ""); len(w.sends) != 1 {
+		t.Fatal("the engine was not tried")
+	}
+	if got, want := w.c.ejected(), w.c.plainEjected(); got != want || want != 1 {
+		t.Errorf("%v engines are ejected, %v fail, want 1", got, want)
+	}
+}
