Have the rig's boards and links listen at addresses of their own

Cause: taken to be a router of another test, which went on dialling a port of 127.0.0.1 whose board had ended, and that the system gave out again. Whose it was is not shown; that it was none of the rig's is.

Ruled out: a link that the cut left, and a second link of one follower (each link of the rig has its line, 32 in all).

Change: boards, relays and engines listen at a loopback address of their own each, as the routers do.

--- a/internal/fleettest/board.go
+++ b/internal/fleettest/board.go
@@ -83,7 +83,7 @@
 }
 
 func startBoard(engines []Engine) (*Board, error) {
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	lis, err := listen()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/fleettest/client.go
+++ b/internal/fleettest/client.go
@@ -155,7 +155,7 @@
 	t.Helper()
 	f := &EngineFarm{Engines: Engines(n)}
 	for i := range f.Engines {
-		lis, err := net.Listen("tcp", "127.0.0.1:0")
+		lis, err := listen()
 		if err != nil {
 			t.Fatal(err)
 		}
--- a/internal/fleettest/relay.go
+++ b/internal/fleettest/relay.go
@@ -48,7 +48,7 @@
 // NewRelay relays to a target until the test's end.
 func NewRelay(t testing.TB, target string) *Relay {
 	t.Helper()
-	lis, err := net.Listen("tcp", "127.0.0.1:0")
+	lis, err := listen()
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/fleettest/router.go
+++ b/internal/fleettest/router.go
@@ -144,13 +144,22 @@
 
 var addresses atomic.Uint32
 
+// ownIP gives an address of loopback that no other listener of this process has, nor one of another process that runs tests.
+func ownIP() string {
+	n, pid := addresses.Add(1), os.Getpid()
+	return fmt.Sprintf("127.%d.%d.%d", 16+pid%180, uint32(pid/180%8)*30+n/250%30, 1+n%250)
+}
+
+// listen listens where nobody else did: routers of tests that run beside this one go on dialling the ports of boards that have
+// ended, and the system gives a port out again.
+func listen() (net.Listener, error) { return net.Listen("tcp", ownIP()+":0") }
+
 // FreePort gives an address on loopback for a process to listen at. Each has an IP address of its own, where nobody's own
 // end of a connection is put, so that it stays free until the process is there, and while it is started anew.
 func FreePort(t testing.TB) string {
 	t.Helper()
 	for range 1000 {
-		n, pid := addresses.Add(1), os.Getpid()
-		addr := fmt.Sprintf("127.%d.%d.%d:7500", 16+pid%180, uint32(pid/180%8)*30+n/250%30, 1+n%250)
+		addr := ownIP() + ":7500"
 		if lis, err := net.Listen("tcp", addr); err == nil {
 			_ = lis.Close()
 			return addr
