Review, case 1: Flight SQL tickets of a later process repeat those of an earlier one

Cause, as far as known: the handles of tickets come from a generator whose key is the configuration's seed and the number of the process modulo 16. So the n-th ticket of a process and that of the sixteenth after it are the same.

No code of the project is changed.

--- a/review/driver/engine.go
+++ b/review/driver/engine.go
@@ -101,7 +101,7 @@
 		e.runs[id] = &run{ends: arrived.Add(e.workFor(class)), lastAsked: arrived, pages: pages}
 	}
 	e.mu.Unlock()
-	e.rec.post(post{at: arrived, engine: e.name(), id: id, class: class, refused: refused, bytes: len(statement)})
+	e.rec.post(post{at: arrived, engine: e.name(), id: id, class: class, statement: statement, refused: refused})
 	if refused {
 		w.Header().Set("Not-Begun", "1")
 		w.WriteHeader(http.StatusServiceUnavailable)
--- a/review/driver/flight.go
+++ b/review/driver/flight.go
@@ -12,6 +12,7 @@
 
 	"github.com/apache/arrow-go/v18/arrow/flight/flightsql"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
@@ -126,3 +127,6 @@
 	c.done.Wait()
 	return c.calls
 }
+
+// unavailable reports whether a call ended for want of a connection.
+func unavailable(err error) bool { return status.Code(err) == codes.Unavailable }
--- a/review/driver/flight_exit.go
+++ b/review/driver/flight_exit.go
@@ -7,9 +7,6 @@
 	"path/filepath"
 	"syscall"
 	"time"
-
-	"google.golang.org/grpc/codes"
-	"google.golang.org/grpc/status"
 )
 
 const (
@@ -91,7 +88,7 @@
 	lost := 0
 	for _, call := range calls {
 		taken, wasTaken := forwarded[call.id]
-		if !wasTaken || status.Code(call.err) != codes.Unavailable {
+		if !wasTaken || !unavailable(call.err) {
 			continue
 		}
 		after := sinceSignal(signals, call.sent)
--- a/review/driver/main.go
+++ b/review/driver/main.go
@@ -34,9 +34,11 @@
 type play func(rec *recorder, trouble bool) (broken []string, err error)
 
 var plays = map[string]play{
-	"stale-list":  playStaleList,
-	"stopped":     playStopped,
-	"flight-exit": playFlightExit,
+	"stale-list":     playStaleList,
+	"stopped":        playStopped,
+	"flight-exit":    playFlightExit,
+	"tickets":        playTickets,
+	"tickets-killed": playTicketsKilled,
 }
 
 func main() { os.Exit(execute(os.Args[1:])) }
--- a/review/driver/record.go
+++ b/review/driver/record.go
@@ -12,8 +12,8 @@
 type post struct {
 	at                time.Time
 	engine, id, class string
+	statement         string
 	refused           bool
-	bytes             int
 }
 
 // recorder writes what was sent, answered and run, with times in seconds from its start, and keeps the statements that
--- a/review/driver/router.go
+++ b/review/driver/router.go
@@ -28,7 +28,8 @@
 // site holds what the processes of one router share.
 type site struct {
 	rec    *recorder
-	dir    string // temporary folder, also $TMPDIR of the processes
+	dir    string // temporary folder
+	temp   string // $TMPDIR of the processes that are started from now on
 	config string // path of the platform's configuration
 	listen string
 	// settings is the path of the installation's settings; empty for none.
@@ -62,7 +63,7 @@
 	if err != nil {
 		return nil, err
 	}
-	made := &site{rec: rec, dir: dir, config: filepath.Join(dir, "config.json")}
+	made := &site{rec: rec, dir: dir, temp: dir, config: filepath.Join(dir, "config.json")}
 	if made.listen, err = freeAddr(); err != nil {
 		return nil, err
 	}
@@ -113,7 +114,7 @@
 		command += " --settings " + s.settings
 	}
 	cmd := exec.Command("/bin/sh", "-c", command)
-	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+s.config, "PROXY_CONTROL="+admin, "TMPDIR="+s.dir)
+	cmd.Env = append(os.Environ(), "PROXY_CONFIG="+s.config, "PROXY_CONTROL="+admin, "TMPDIR="+s.temp)
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return nil, err
