Review, case 1: the former clients come back with expired tickets

A client that comes back too late is more common than one that sends a spent ticket once more. The 16 hot restarts are 3 s apart now, and the former clients redeem after 61 s; a ticket is valid for 60 s.

--- a/review/driver/tickets.go
+++ b/review/driver/tickets.go
@@ -21,8 +21,11 @@
 const (
 	// ticketPairs is the number of clients that have tickets of the first process, and of those with tickets of the last.
 	ticketPairs = 4
-	// ticketRestarts is the number of hot restarts between them.
+	// ticketRestarts is the number of hot restarts between them, and restartPause what lies between two of these.
 	ticketRestarts = 16
+	restartPause   = 3 * time.Second
+	// ticketExpired is an age at which tickets have expired: they are valid for 60 s.
+	ticketExpired = 61 * time.Second
 )
 
 // ticketHolder is a Flight SQL client that has a ticket for a query of its own and redeems it.
@@ -35,18 +38,18 @@
 	err             error
 }
 
-// playTickets: clients run loads with tickets of the first process. After hot restarts other clients get tickets for loads
-// of theirs. Then the first clients send DoGet with their spent tickets once more, and the others redeem theirs.
+// playTickets: clients get tickets for loads from the first process and do not redeem them in time. Meanwhile there are hot
+// restarts. Then other clients get tickets for loads of theirs, and all redeem what they have.
 func playTickets(rec *recorder, trouble bool) (broken []string, err error) {
-	return ticketsAcross(rec, trouble, func(place *site, current *router) (*router, error) {
+	return ticketsAcross(rec, trouble, ticketExpired, func(place *site, current *router) (*router, error) {
 		return place.hotRestarts(current, ticketRestarts)
 	})
 }
 
-// playTicketsKilled is the same with a process that is killed and started again with its own file and an empty $TMPDIR. It
-// is no case, since the platform's file has a new seed at each start.
+// playTicketsKilled is the same with a process that is killed and started again with its own file and an empty $TMPDIR, so
+// that it knows no ticket. It is no case, since the platform's file has a new seed at each start.
 func playTicketsKilled(rec *recorder, trouble bool) (broken []string, err error) {
-	return ticketsAcross(rec, trouble, func(place *site, current *router) (_ *router, err error) {
+	return ticketsAcross(rec, trouble, 0, func(place *site, current *router) (_ *router, err error) {
 		current.signal(syscall.SIGKILL)
 		<-current.ended
 		if place.temp, err = os.MkdirTemp(place.dir, "tmp"); err != nil {
@@ -56,9 +59,9 @@
 	})
 }
 
-// ticketsAcross plays playTickets with these restarts.
+// ticketsAcross plays playTickets with these restarts. The later clients come when the first tickets have this age.
 func ticketsAcross(
-	rec *recorder, trouble bool, restart func(*site, *router) (*router, error),
+	rec *recorder, trouble bool, age time.Duration, restart func(*site, *router) (*router, error),
 ) (broken []string, err error) {
 	engines, err := startEngines(rec, 2, fixedWork(60*time.Millisecond))
 	if err != nil {
@@ -82,14 +85,13 @@
 	if err != nil {
 		return nil, err
 	}
-	for _, holder := range former {
-		holder.redeem(rec)
-	}
+	issued := time.Now()
 	if trouble {
 		if current, err = restart(place, current); err != nil {
 			return nil, err
 		}
 	}
+	time.Sleep(age - time.Since(issued))
 	later, err := callers.takeTickets("later")
 	if err != nil {
 		return nil, err
@@ -108,6 +110,7 @@
 // hotRestarts replaces a process by another, n times, as docs/operating.md says. It returns the last one.
 func (s *site) hotRestarts(current *router, n int) (*router, error) {
 	for i := range n {
+		time.Sleep(restartPause)
 		next, err := s.startReady(fmt.Sprintf("process-%d", i+2))
 		if err != nil {
 			return nil, err
