--- a/review/driver2/case_flight.go
+++ b/review/driver2/case_flight.go
@@ -7,7 +7,6 @@
 	"fmt"
 	"io"
 	"net"
-	"path/filepath"
 	"time"
 
 	"github.com/apache/arrow-go/v18/arrow/flight"
@@ -41,12 +40,7 @@
 		return err
 	}
 	address := fmt.Sprintf("127.0.0.1:%d", port)
-	file := filepath.Join(stage.dir, "windflow.json")
-	section := object{"listen": address, "engine_kinds": []string{}, "max_connections": idleFlightClients}
-	if err := stage.writeJSON(file, object{"flightsql": section}); err != nil {
-		return err
-	}
-	if err := stage.startRouter("--settings " + file); err != nil {
+	if err := stage.startWithFlight(address, []string{}); err != nil {
 		return err
 	}
 	if trouble() {
--- a/review/driver2/engine.go
+++ b/review/driver2/engine.go
@@ -38,7 +38,7 @@
 	id       uint32
 	port     int
 	work     func(query) time.Duration
-	server   *http.Server
+	stop     func() // ends its server
 	draining atomic.Bool
 
 	mu      sync.Mutex
@@ -52,22 +52,23 @@
 	if err != nil {
 		return nil, err
 	}
-	e := &engine{
+	started := &engine{
 		rec: rec, id: id, port: lis.Addr().(*net.TCPAddr).Port, work: work, queries: map[string]*running{},
 	}
 	mux := http.NewServeMux()
-	mux.HandleFunc("POST /fetch", e.start)
-	mux.HandleFunc("GET /fetch/{id}/0", func(w http.ResponseWriter, r *http.Request) { e.news(w, r.PathValue("id")) })
+	mux.HandleFunc("POST /fetch", started.start)
+	mux.HandleFunc("GET /fetch/{id}/0", func(w http.ResponseWriter, r *http.Request) { started.news(w, r.PathValue("id")) })
 	mux.HandleFunc("PUT /fetch/{id}", noContent)
-	mux.HandleFunc("DELETE /fetch/{id}", e.giveUp)
+	mux.HandleFunc("DELETE /fetch/{id}", started.giveUp)
 	mux.HandleFunc("GET /healthz", func(http.ResponseWriter, *http.Request) {})
 	mux.HandleFunc("GET /stats", func(http.ResponseWriter, *http.Request) {})
-	e.server = &http.Server{Handler: mux}
-	go func() { _ = e.server.Serve(lis) }()
-	return e, nil
+	server := &http.Server{Handler: mux}
+	started.stop = func() { _ = server.Close() }
+	go func() { _ = server.Serve(lis) }()
+	return started, nil
 }
 
-func (e *engine) close() { _ = e.server.Close() }
+func (e *engine) close() { e.stop() }
 
 func noContent(w http.ResponseWriter, r *http.Request) {
 	_, _ = io.Copy(io.Discard, r.Body)
--- a/review/driver2/main.go
+++ b/review/driver2/main.go
@@ -36,6 +36,8 @@
 	"board":    playBoard,
 	"overdue":  playOverdue,
 	"flight":   playFlight,
+	"altered":  playAltered,
+	"gone":     playGone,
 }
 
 func main() {
