--- a/review/driver2/board.go
+++ b/review/driver2/board.go
@@ -21,12 +21,12 @@
 	state byte
 }
 
-// board is a stand-in for the notice board.
+// board is a stand-in for the notice board, behind a path that delays what it sends.
 type board struct {
-	rec        *record
-	lis        net.Listener
-	address    string
-	firstFrame time.Duration // time between the connection of a watcher and its first frame
+	rec     *record
+	lis     net.Listener
+	address string
+	delay   time.Duration // of all that it sends
 
 	mu      sync.Mutex
 	frames  [][]byte      // of the events, from 1
@@ -34,13 +34,13 @@
 	conns   map[net.Conn]bool
 }
 
-func newBoard(rec *record, firstFrame time.Duration) (*board, error) {
+func newBoard(rec *record, delay time.Duration) (*board, error) {
 	lis, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, err
 	}
 	b := &board{
-		rec: rec, lis: lis, address: lis.Addr().String(), firstFrame: firstFrame,
+		rec: rec, lis: lis, address: lis.Addr().String(), delay: delay,
 		changed: make(chan struct{}), conns: map[net.Conn]bool{},
 	}
 	go b.accept()
@@ -96,6 +96,12 @@
 	}
 }
 
+// delayed is what the board has sent, and when it arrives.
+type delayed struct {
+	at    time.Time
+	bytes []byte
+}
+
 // serve sends a watcher the events after its last one, and an empty frame each second.
 func (b *board) serve(conn net.Conn) {
 	defer func() {
@@ -109,39 +115,48 @@
 		return
 	}
 	last := binary.BigEndian.Uint64(request[:])
+	came := time.Now()
 	b.rec.printf("board: a watcher has come, last event %d", last)
-	if !b.pause(conn) {
-		b.rec.printf("board: the watcher has left before its first frame")
-		return
-	}
+	left, sent := make(chan struct{}), make(chan delayed, 1000)
+	go func() {
+		_, _ = conn.Read(make([]byte, 1)) // a watcher sends nothing more
+		close(left)
+	}()
+	go carry(conn, sent)
+	defer close(sent)
 	for {
-		b.mu.Lock()
-		var pending []byte
-		for ; last < uint64(len(b.frames)); last++ {
-			pending = append(pending, b.frames[last]...)
-		}
-		changed := b.changed
-		b.mu.Unlock()
-		if pending == nil {
-			pending = encodeFrame(last, frameNothing, nil)
-		}
-		if _, err := conn.Write(pending); err != nil {
-			return
-		}
+		frames, now, changed := b.after(last)
+		last = now
+		sent <- delayed{time.Now().Add(b.delay), frames}
 		select {
 		case <-changed:
 		case <-time.After(time.Second):
+		case <-left:
+			b.rec.printf("board: the watcher has left after %.3f s", time.Since(came).Seconds())
+			return
 		}
 	}
 }
 
-// pause waits for firstFrame, and reports whether the watcher is still there afterwards.
-func (b *board) pause(conn net.Conn) bool {
-	if b.firstFrame <= 0 {
-		return true
+// after returns the frames of the events after the last one, or an empty frame if there are none, the number of the
+// newest event, and a channel that is closed at the next.
+func (b *board) after(last uint64) (frames []byte, now uint64, changed <-chan struct{}) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, frame := range b.frames[min(last, uint64(len(b.frames))):] {
+		frames = append(frames, frame...)
+	}
+	now = uint64(len(b.frames))
+	if frames == nil {
+		frames = encodeFrame(now, frameNothing, nil)
+	}
+	return frames, now, b.changed
+}
+
+// carry writes what was sent to the connection when it arrives.
+func carry(conn net.Conn, sent <-chan delayed) {
+	for next := range sent {
+		time.Sleep(time.Until(next.at))
+		_, _ = conn.Write(next.bytes) // fails once the watcher has left
 	}
-	_ = conn.SetReadDeadline(time.Now().Add(b.firstFrame))
-	_, err := conn.Read(make([]byte, 1))
-	timeout, ok := err.(net.Error) //nolint:errorlint // a read of a connection returns the error itself
-	return ok && timeout.Timeout()
 }
--- a/review/driver2/case_board.go
+++ b/review/driver2/case_board.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	// boardDelay is the time that the slow board takes for the first frame of a watcher.
+	// boardDelay is how late all arrives that the board sends.
 	boardDelay = 3 * time.Second
 	// drainAfter is when the engine begins to drain, after the router is ready.
 	drainAfter = 5 * time.Second
@@ -20,8 +20,8 @@
 	boardGap = 100 * time.Millisecond
 )
 
-// playBoard has an engine drain while the board is slow to serve those who connect. Once the event counts as told, the
-// engine must get no new work. Without the disruption the board serves at once.
+// playBoard has an engine drain while all that the board sends is late. Once the event counts as told, the
+// engine must get no new work. Without the disruption nothing is late.
 func playBoard(stage *world) error {
 	delay := boardDelay
 	if !trouble() {
--- a/review/driver2/world.go
+++ b/review/driver2/world.go
@@ -66,10 +66,9 @@
 	return nil
 }
 
-// startBoard starts the notice board with the list of all engines as event 1. A new watcher gets its first frame after
-// firstFrame.
-func (w *world) startBoard(firstFrame time.Duration) (err error) {
-	w.board, err = newBoard(w.rec, firstFrame)
+// startBoard starts the notice board with the list of all engines as event 1. What it sends arrives after delay.
+func (w *world) startBoard(delay time.Duration) (err error) {
+	w.board, err = newBoard(w.rec, delay)
 	if err != nil {
 		return err
 	}
