Review case 7: clients send 4 ms apart, so that it fails on one core too

Cause: where router and stand-ins share one core, clients that all send in the same moment starve the engines, look-ups are rejected and the buffers empty before the loads' clients send. Done: 310 clients 4 ms apart, ten engines, loads of 8 s, and the loads' clients wait until all have sent.

--- a/review/driver2/case_refusal.go
+++ b/review/driver2/case_refusal.go
@@ -8,17 +8,21 @@
 
 const (
 	// manySenders is the number of clients that send many look-ups at once, and manyCommands how many each sends.
-	manySenders, manyCommands = 260, 40
+	manySenders, manyCommands = 310, 41
 	// loadSenders is the number of clients that send a load and then look-ups at once.
 	loadSenders = 8
 	// loadWork is the work of a load, and lookupWork that of a look-up.
-	loadWork, lookupWork = 4 * time.Second, 4 * time.Second
+	loadWork, lookupWork = 8 * time.Second, 4 * time.Second
+	// sendGap is the time between two clients that send many look-ups.
+	sendGap = 4 * time.Millisecond
+	// sentPause is the time between the last commands of the others and the look-ups behind the loads.
+	sentPause = 500 * time.Millisecond
 )
 
 // playRefusal has clients send many commands at once while loads run. A load that has begun must not be refused: its
 // client sends a refused load again. Without the disruption the clients send one command at a time.
 func playRefusal(stage *world) error {
-	err := stage.addEngines(8, func(q query) time.Duration {
+	err := stage.addEngines(10, func(q query) time.Duration {
 		if q.class == "load" {
 			return loadWork
 		}
@@ -34,16 +38,21 @@
 		return err
 	}
 	var clients sync.WaitGroup
-	refused := &refusals{}
+	refused, sent := &refusals{}, make(chan struct{})
 	for i := range loadSenders {
-		clients.Go(func() { stage.sendLoad(i, refused) })
+		clients.Go(func() { stage.sendLoad(i, sent, refused) })
 	}
 	time.Sleep(500 * time.Millisecond)
 	stop := make(chan struct{})
+	var senders sync.WaitGroup
+	senders.Add(manySenders)
 	for i := range manySenders {
-		clients.Go(func() { stage.sendMany(loadSenders+i, stop) })
+		time.Sleep(sendGap)
+		clients.Go(func() { stage.sendMany(loadSenders+i, senders.Done, stop) })
 	}
-	time.Sleep(6 * time.Second)
+	senders.Wait()
+	close(sent)
+	time.Sleep(5 * time.Second)
 	close(stop)
 	clients.Wait()
 	return stage.judgeRefusals(refused)
@@ -64,8 +73,9 @@
 	r.loads[id] = again
 }
 
-// sendLoad sends a load and, once others have sent, reports behind it. A refused load is sent once more.
-func (w *world) sendLoad(number int, refused *refusals) {
+// sendLoad sends a load and, once the others have sent their commands, look-ups behind it. A refused load is sent once
+// more.
+func (w *world) sendLoad(number int, sent <-chan struct{}, refused *refusals) {
 	load := request{id: newRequestID(), class: "load", budget: 25 * time.Second, estimate: loadWork, group: number}
 	session, err := dialClient(w.listen)
 	if err != nil {
@@ -78,7 +88,8 @@
 		return
 	}
 	if trouble() {
-		time.Sleep(1700 * time.Millisecond)
+		<-sent
+		time.Sleep(sentPause)
 		_ = session.write(manyLookups(number))
 		w.rec.printf("load client %d: sent %d look-ups at once", number, manyCommands)
 	}
@@ -115,10 +126,11 @@
 }
 
 // sendMany sends many look-ups at once on a session, and keeps it until stop is closed. Without the disruption it sends
-// one.
-func (w *world) sendMany(group int, stop <-chan struct{}) {
+// one. It calls done when it has sent.
+func (w *world) sendMany(group int, done func(), stop <-chan struct{}) {
 	session, err := dialClient(w.listen)
 	if err != nil {
+		done()
 		w.rec.printf("client: %v", err)
 		return
 	}
@@ -127,7 +139,9 @@
 	if trouble() {
 		all = manyLookups(group)
 	}
-	if err := session.write(all); err != nil {
+	err = session.write(all)
+	done()
+	if err != nil {
 		w.rec.printf("client: %v", err)
 		return
 	}
