Flight SQL front: idle clients make room for a new one

Cause: netutil.LimitListener stops accepting at the limit. The kernel accepts in its place, so that the client writes its call to a connection that nobody reads. Nothing ended an idle connection.

Invariant: a connection that the machine has accepted is served, or closed within its client's time.

Change: connectionSet accepts every connection. Each connection has a gRPC server of its own, since gRPC drains whole servers only.

--- a/internal/flightsql/front.go
+++ b/internal/flightsql/front.go
@@ -1,16 +1,17 @@
 package flightsql
 
 import (
+	"errors"
 	"log/slog"
 	"net"
 	"os"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/apache/arrow-go/v18/arrow/flight"
 	"github.com/apache/arrow-go/v18/arrow/flight/flightsql"
-	"golang.org/x/net/netutil"
 	"google.golang.org/grpc"
 
 	"windflow/internal/netio"
@@ -34,6 +35,8 @@
 	flowControlWindow = 64 << 10
 	// handshakeTimeout bounds the time to set up a connection.
 	handshakeTimeout = 5 * time.Second
+	// acceptRetryDelay is the delay after a failed accept. Without free descriptors, each accept fails at once.
+	acceptRetryDelay = 20 * time.Millisecond
 )
 
 // Config is the section flightsql of the settings. The schema of its values is in package installation.
@@ -55,16 +58,17 @@
 	Failed     atomic.Int64 `status:"failed"`
 	TimedOut   atomic.Int64 `status:"late"`
 	Cancelled  atomic.Int64 `status:"left"`
+	Evicted    atomic.Int64 `status:"evicted"`     // idle connections that made room for others
+	TurnedAway atomic.Int64 `status:"turned_away"` // connections that were closed unread
 }
 
 // Front serves clients that speak Flight SQL. Its methods are safe for concurrent use.
 type Front struct {
-	log      *slog.Logger
-	server   *grpc.Server
-	service  *service
-	tickets  *ticketStore
-	addr     string
-	maxConns int
+	log     *slog.Logger
+	service *service
+	tickets *ticketStore
+	clients *connectionSet
+	addr    string
 
 	listenerMu sync.Mutex
 	addrKnown  bool
@@ -78,20 +82,24 @@
 func NewFront(
 	cfg Config, core *router.Core, loop *router.Loop, seed uint64, generation uint8, log *slog.Logger,
 ) (*Front, error) {
-	front := &Front{
-		log: log, addr: cfg.Listen, maxConns: cfg.MaxConnections, tickets: newTicketStore(loop, seed, generation),
-	}
+	front := &Front{log: log, addr: cfg.Listen, tickets: newTicketStore(loop, seed, generation)}
 	var err error
 	if front.service, err = newService(core, loop, front.tickets, &front.Counters, front.Addr); err != nil {
 		return nil, err
 	}
-	guard := &panicRecovery{log: log, counters: &front.Counters}
-	front.server = grpc.NewServer(grpc.MaxRecvMsgSize(maxCall), grpc.MaxConcurrentStreams(maxStreams),
+	front.clients = newConnectionSet(cfg.MaxConnections, front.newServer, loop.Now, &front.Counters)
+	return front, nil
+}
+
+// newServer returns the gRPC server of one connection.
+func (f *Front) newServer() *grpc.Server {
+	guard := &panicRecovery{log: f.log, counters: &f.Counters}
+	server := grpc.NewServer(grpc.MaxRecvMsgSize(maxCall), grpc.MaxConcurrentStreams(maxStreams),
 		grpc.InitialWindowSize(flowControlWindow), grpc.InitialConnWindowSize(flowControlWindow),
 		grpc.ConnectionTimeout(handshakeTimeout), grpc.MaxHeaderListSize(maxHeaderList),
 		grpc.UnaryInterceptor(guard.unary), grpc.StreamInterceptor(guard.stream))
-	flight.RegisterFlightServiceServer(front.server, flightsql.NewFlightServer(front.service))
-	return front, nil
+	flight.RegisterFlightServiceServer(server, flightsql.NewFlightServer(f.service))
+	return server
 }
 
 // Serve takes ownership of a listener and accepts connections on it until StopAccepting or Stop. It does not block.
@@ -102,14 +110,40 @@
 	}
 	f.listener = lis
 	f.listenerMu.Unlock()
-	go func() {
-		err := f.server.Serve(netutil.LimitListener(lis, f.maxConns))
-		f.listenerMu.Lock()
-		defer f.listenerMu.Unlock()
-		if f.listener == lis && err != nil {
-			f.log.Error("flight sql server ended", "error", err)
+	go f.accept(lis) // returns when the listener is closed
+}
+
+// accept accepts connections until the listener is closed or fails.
+func (f *Front) accept(lis net.Listener) {
+	for {
+		conn, err := lis.Accept()
+		switch {
+		case err == nil:
+			f.clients.add(conn)
+		case isTransient(err):
+			f.log.Warn("listener accept failed", "error", err)
+			time.Sleep(acceptRetryDelay)
+		default:
+			f.listenerMu.Lock()
+			defer f.listenerMu.Unlock()
+			if f.listener == lis {
+				f.log.Error("flight sql server ended", "error", err)
+			}
+			return
 		}
-	}()
+	}
+}
+
+// isTransient reports whether a later accept may succeed: the client has left, or descriptors or memory ran out.
+func isTransient(err error) bool {
+	for _, transient := range []error{
+		syscall.ECONNABORTED, syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM,
+	} {
+		if errors.Is(err, transient) {
+			return true
+		}
+	}
+	return false
 }
 
 // StopAccepting closes the listener and returns a copy of its descriptor. Open connections stay open.
@@ -134,11 +168,20 @@
 // Drain tells clients to reconnect, which leads them to the other process, and lets calls in flight end. It does not
 // block.
 func (f *Front) Drain() {
-	go f.server.GracefulStop() // returns after the last call has ended or Stop was called
+	f.clients.drain()
 }
 
 // Stop closes the listener and all connections, and cancels the calls in flight.
-func (f *Front) Stop() { f.server.Stop() }
+func (f *Front) Stop() {
+	f.listenerMu.Lock()
+	lis := f.listener
+	f.listener = nil
+	f.listenerMu.Unlock()
+	if lis != nil {
+		_ = lis.Close()
+	}
+	f.clients.stop()
+}
 
 // Addr returns the address that the front listens on, or the configured one before the first Serve.
 func (f *Front) Addr() string { return f.addr }
--- a/internal/netio/socket.go
+++ b/internal/netio/socket.go
@@ -158,6 +158,17 @@
 	return unread
 }
 
+// HasUnread reports whether the kernel holds bytes that the peer of a connection has sent.
+func HasUnread(conn syscall.Conn) bool {
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	unread := 0
+	err = raw.Control(func(fd uintptr) { unread, _ = unix.IoctlGetInt(int(fd), unix.TIOCINQ) })
+	return err == nil && unread > 0
+}
+
 // NotifyFlushed implements Conn.
 func (s *socket) NotifyFlushed(fn func()) {
 	s.onFlushed = append(s.onFlushed, fn)
--- a/internal/node/part_flight.go
+++ b/internal/node/part_flight.go
@@ -42,7 +42,7 @@
 	flight := &flightService{claims: ticketClaims{waiting: map[int64]chan *flightsql.Ticket{}}}
 	return &part{
 		name:        "flightsql",
-		descriptors: cfg.MaxConnections + flightEngineDescriptors,
+		descriptors: cfg.MaxConnections + flightsql.MaxWaitingConnections + flightEngineDescriptors,
 		acceptor:    flight.acceptor(cfg.Listen),
 		start: func(l limits) (err error) {
 			flight.client = flightsql.NewClient(n.loop, l.engines.ConnectTimeoutMS, maxFlightLoads)
