Keeper: idle clients make room for a call

Callers saw: once idle clients held all HTTP connections of a keeper (waiting followers + 512), a further call was not read until one of them had been idle for a minute.

Change: connectionLimiter follows the server's connection states. A connection beyond the limit replaces the one that has waited for a request longest; if each other one has an open call, the new one is closed unread, and its client turns to another keeper at once.

--- a/internal/keeper/export_test.go
+++ b/internal/keeper/export_test.go
@@ -15,3 +15,6 @@
 	n, pid := lastLoopbackHost.Add(1), os.Getpid()
 	return fmt.Sprintf("127.%d.%d.%d", 16+pid%200, n/250+uint32(pid/200%8)*30, 1+n%250)
 }
+
+// MaxConnections returns the number of connections that a keeper keeps open for a limit of waiting followers.
+func MaxConnections(maxWaitingFollowers int) int { return maxWaitingFollowers + spareConns }
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -9,8 +9,6 @@
 	"net/http"
 	"sync"
 	"time"
-
-	"golang.org/x/net/netutil"
 )
 
 const (
@@ -140,7 +138,7 @@
 	serveFailed := make(chan error, 1)
 	serving.Go(func() {
 		counting := countingListener{httpListener, &k.counters.bytesIn, &k.counters.bytesOut}
-		serveFailed <- server.Serve(netutil.LimitListener(counting, k.options.MaxWaitingFollowers+spareConns))
+		serveFailed <- server.Serve(counting)
 	})
 	httpAddr := httpListener.Addr().String()
 	k.log.Info("keeper listening",
@@ -176,6 +174,7 @@
 		ReadHeaderTimeout: headerTimeout,
 		IdleTimeout:       connIdleTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         newConnectionLimiter(k.options.MaxWaitingFollowers + spareConns).connState,
 		ErrorLog:          slog.NewLogLogger(k.log.Handler(), slog.LevelDebug),
 	}
 }
