Flight SQL engines: bound what Arrow decodes before it decodes it

Cause: Arrow's reader allocates what a message declares. The router's bounds count bytes on the wire and bytes of the result, which come before and after the decoding.

Invariant: what a peer sends is bounded before it is decoded.

Change: package arrowipc inspects each message first and replaces compressed buffers by plain ones, within 4 MB an attempt; results above 64 kB take turns within an eighth of the memory limit. A FlightInfo is bounded by its endpoints, headers from engines by 16 kB, flow-control windows are fixed. Nested column types fail with the column's name and type: a single value can expand without bound, and what was served was Arrow's display text.

With Arrow's reader on the stream itself, TestCompressedResults ends the test process with "out of memory", and TestNestedColumnIsNamed and TestEndlessDictionariesFail fail; without the codec, TestManyEndpointsFail fails.

--- a/internal/flightsql/attempt.go
+++ b/internal/flightsql/attempt.go
@@ -88,7 +88,7 @@
 		result, trailer, err = executeUpdate(ctx, client, call.Statement)
 	} else {
 		c.Counters.Queries.Add(1)
-		result, trailer, err = executeQuery(ctx, client, call.Statement)
+		result, trailer, err = executeQuery(ctx, client, call.Statement, c.results)
 	}
 	if state.retried.Load() {
 		c.Counters.TransparentRetries.Add(1)
--- a/internal/flightsql/client.go
+++ b/internal/flightsql/client.go
@@ -22,6 +22,8 @@
 	sharedIdleTimeout = 10 * time.Second
 	// maxMessage bounds a gRPC message from an engine, in bytes.
 	maxMessage = 256 << 10
+	// engineConnWindow is the HTTP/2 flow-control window in bytes for all calls of a connection to an engine.
+	engineConnWindow = 1 << 20
 )
 
 // Client is the client of engines that speak Flight SQL. It implements router.EngineClient. Each attempt runs in a
@@ -33,6 +35,7 @@
 	shared         map[dispatch.EngineID]*grpc.ClientConn
 	attempts       map[*attempt]bool // those whose goroutine has not ended
 	dedicatedSlots chan struct{}     // has one element for each dedicated connection
+	results        *resultLimits
 	Counters       ClientCounters
 }
 
@@ -45,14 +48,19 @@
 }
 
 // NewClient returns a client. Idempotent calls to an engine share one connection. An at-most-once call gets a dedicated
-// connection; there are at most maxDedicated of these at a time, and further calls wait unsent for one.
-func NewClient(loop *router.Loop, connectTimeoutMS float64, maxDedicated int) *Client {
+// connection; there are at most maxDedicated of these at a time, and further calls wait unsent for one. Large results
+// together take at most maxResultBytes.
+func NewClient(loop *router.Loop, connectTimeoutMS float64, maxDedicated, maxResultBytes int) (*Client, error) {
+	results, err := newResultLimits(maxResultBytes)
+	if err != nil {
+		return nil, err
+	}
 	c := &Client{
 		loop: loop, shared: map[dispatch.EngineID]*grpc.ClientConn{},
-		attempts: map[*attempt]bool{}, dedicatedSlots: make(chan struct{}, maxDedicated),
+		attempts: map[*attempt]bool{}, dedicatedSlots: make(chan struct{}, maxDedicated), results: results,
 	}
 	c.Configure(connectTimeoutMS)
-	return c
+	return c, nil
 }
 
 // Configure sets the connect timeout of later dials.
@@ -173,7 +181,9 @@
 	return grpc.NewClient("passthrough:///engine", grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(dialer), grpc.WithDisableRetry(), grpc.WithDisableServiceConfig(), grpc.WithNoProxy(),
 		grpc.WithIdleTimeout(sharedIdleTimeout), grpc.WithStatsHandler(callStats{}),
-		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage)))
+		grpc.WithInitialWindowSize(flowControlWindow), grpc.WithInitialConnWindowSize(engineConnWindow),
+		grpc.WithMaxHeaderListSize(maxHeaderList),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(maxMessage), grpc.ForceCodecV2(newBoundedCodec())))
 }
 
 var errConnUsed = errors.New("the dedicated connection was already used for a call")
--- a/internal/flightsql/execute.go
+++ b/internal/flightsql/execute.go
@@ -26,7 +26,7 @@
 // executeQuery runs a query: GetFlightInfo, then DoGet for each ticket. It returns the rows of all tickets and the
 // trailer of the last call.
 func executeQuery(
-	ctx context.Context, client flightsql.Client, statement string,
+	ctx context.Context, client flightsql.Client, statement string, limits *resultLimits,
 ) (*router.Result, metadata.MD, error) {
 	var trailer metadata.MD
 	info, err := client.Execute(ctx, statement, grpc.Trailer(&trailer))
@@ -37,12 +37,14 @@
 		return nil, nil, fmt.Errorf("%w: flight info without an endpoint", errBadResponse)
 	}
 	rows := &rowReader{result: &router.Result{}}
+	budget := &resultBudget{limits: limits}
+	defer budget.release()
 	for _, endpoint := range info.Endpoint {
 		stream, err := client.Client.DoGet(ctx, endpoint.Ticket)
 		if err != nil {
 			return nil, nil, err
 		}
-		reader, err := flight.NewRecordReader(stream)
+		reader, err := flight.NewRecordReader(&resultStream{FlightService_DoGetClient: stream, budget: budget})
 		if err != nil {
 			return nil, stream.Trailer(), streamError(err)
 		}
@@ -118,7 +120,7 @@
 
 // streamError returns a gRPC status unchanged and marks any other error as errBadResponse.
 func streamError(err error) error {
-	if _, ok := status.FromError(err); ok {
+	if _, ok := status.FromError(err); ok || errors.Is(err, errBadResponse) {
 		return err
 	}
 	return fmt.Errorf("%w: %w", errBadResponse, err)
--- a/internal/flightsql/harness_test.go
+++ b/internal/flightsql/harness_test.go
@@ -148,7 +148,10 @@
 func newEngineClient(t *testing.T, connectTimeoutMS float64, maxDedicated int) (*Client, *router.Loop) {
 	t.Helper()
 	loop := router.NewLoop(clock.NewSystem())
-	c := NewClient(loop, connectTimeoutMS, maxDedicated)
+	c, err := NewClient(loop, connectTimeoutMS, maxDedicated, maxStreamBytes)
+	if err != nil {
+		t.Fatal(err)
+	}
 	t.Cleanup(routertest.RunLoop(loop))
 	return c, loop
 }
--- a/internal/node/part_flight.go
+++ b/internal/node/part_flight.go
@@ -45,7 +45,10 @@
 		descriptors: cfg.MaxConnections + flightsql.MaxWaitingConnections + flightEngineDescriptors,
 		acceptor:    flight.acceptor(cfg.Listen),
 		start: func(l limits) (err error) {
-			flight.client = flightsql.NewClient(n.loop, l.engines.ConnectTimeoutMS, maxFlightLoads)
+			flight.client, err = flightsql.NewClient(n.loop, l.engines.ConnectTimeoutMS, maxFlightLoads, l.mysql.MaxBuffered)
+			if err != nil {
+				return err
+			}
 			services.byKind.Clients = flight.clientsOf(cfg.EngineKinds)
 			seed := n.active.platform.SeedValue
 			flight.front, err = flightsql.NewFront(*cfg, services.core, n.loop, seed, restart.generation, n.log)
