Discovery: a connection that is silent stays open beside the next one

Cause: the watcher closed a connection that had been silent for 1.8 s, counted from the dial, and the next one was as late.

Invariant: a connection is not given up before what is on its way can arrive, within the 7 s after which an event counts as told.

Change: a silent connection lags and stays open while others are opened beside it, four at most. The first that brings a frame replaces the older ones; a lagging one beside it is closed. Slow connects are treated alike. fleettest's discovery server can have a late path.

TestLateDiscoveryIsHeard plays boards that are up to 30 s late and dead connections.

--- a/internal/discovery/watcher.go
+++ b/internal/discovery/watcher.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
+	"slices"
 
 	"windflow/internal/netio"
 	"windflow/internal/router"
@@ -12,7 +13,13 @@
 )
 
 const (
-	connectTimeoutMS = 250.0
+	// connectTimeoutMS is the time in milliseconds that a connection may take to be established.
+	connectTimeoutMS = 8000.0
+	// maxConnections is the number of connections that are open at the same time while all of them lag. A further one
+	// replaces the second oldest, which is given several seconds that way; the oldest stays.
+	maxConnections = 4
+	// maxSilenceMS is the time in milliseconds without progress after which the oldest connection is replaced, too.
+	maxSilenceMS = 60_000.0
 	// The delay before the next connection attempt, in milliseconds, doubles while connections fail. It is multiplied
 	// by a random factor between 0.5 and 1.5, so that hundreds of routers that lose discovery at the same time do not
 	// reconnect at the same time.
@@ -36,8 +43,9 @@
 	BadFrames   int64 `status:"bad"`
 }
 
-// Watcher maintains a connection to discovery and reports each event once and in order. It must be used only in the
-// loop's goroutine.
+// Watcher maintains a connection to discovery and reports each event once and in order. While a connection lags, it opens
+// others beside it; the first that makes progress replaces those that are older. It must be used only in the loop's
+// goroutine.
 type Watcher struct {
 	loop     *router.Loop
 	dialer   netio.Dialer
@@ -47,9 +55,10 @@
 	log      *slog.Logger
 	random   *rand.Rand
 
-	connection       *connection
+	connections      []*connection // oldest first
 	reconnectDelayMS float64       // the next delay without its random factor
-	reconnect        *router.Timer // opens the next connection; nil or stopped while a connection exists
+	reconnect        *router.Timer // opens the next connection; nil or stopped while a connection does not lag
+	reconnectPending bool          // whether reconnect is set
 
 	lastEvent     uint64
 	lastContactMS float64
@@ -94,17 +103,35 @@
 	}
 	w.log.Info("discovery address changed", "from", w.address, "to", address, "last_event", w.lastEvent)
 	w.address, w.reconnectDelayMS = address, minReconnectDelayMS
-	w.reconnect.Stop() // otherwise a pending reconnect would open a second connection
-	w.connection.close()
+	for _, former := range w.connections {
+		former.close()
+	}
+	w.connections = nil
 	w.connect()
 }
 
 // connect opens a connection and starts its timeout.
 func (w *Watcher) connect() {
+	w.cancelReconnect() // otherwise it would open a second connection
+	if len(w.connections) >= maxConnections {
+		w.closeLagging()
+	}
 	w.Counters.Connections++
-	w.connection = &connection{watcher: w}
-	w.connection.conn = w.dialer.Dial(w.address, connectTimeoutMS, w.connection)
-	w.connection.restartTimeout()
+	opened := &connection{watcher: w, progressMS: w.loop.Now()}
+	w.connections = append(w.connections, opened)
+	opened.conn = w.dialer.Dial(w.address, connectTimeoutMS, opened)
+	opened.restartTimeout(slowConnectMS)
+}
+
+// closeLagging closes one of the connections, all of which lag: the oldest if it has been silent for maxSilenceMS, else
+// the second oldest.
+func (w *Watcher) closeLagging() {
+	index := 1
+	if w.loop.Now()-w.connections[0].progressMS >= maxSilenceMS {
+		index = 0
+	}
+	w.connections[index].close()
+	w.connections = slices.Delete(w.connections, index, index+1)
 }
 
 // connected is called when the first bytes are received on a connection. It resets the reconnection delay.
@@ -113,19 +140,61 @@
 	w.reconnectDelayMS = minReconnectDelayMS
 }
 
-// connectionLost schedules the next connection. received reports whether any bytes were received on the lost one.
-func (w *Watcher) connectionLost(received bool, err error) {
+// connectionProgressed closes the connections that are older than one that has made progress. Newer ones stay until
+// they make progress themselves: they may be faster.
+func (w *Watcher) connectionProgressed(progressed *connection) {
+	w.cancelReconnect()
+	for len(w.connections) > 0 && w.connections[0] != progressed {
+		w.connections[0].close()
+		w.connections = w.connections[1:]
+	}
+}
+
+// connectionLags is called when a connection has made no progress in time. Beside one that brings frames it is of no use.
+func (w *Watcher) connectionLags(lagging *connection) {
+	if slices.ContainsFunc(w.connections, func(c *connection) bool { return c.received && !c.lagging }) {
+		lagging.close()
+		w.remove(lagging)
+		return
+	}
+	w.scheduleReconnect(lagging.received, errTimeout)
+}
+
+// connectionEnded removes a connection that has ended.
+func (w *Watcher) connectionEnded(ended *connection, err error) {
+	w.remove(ended)
+	w.scheduleReconnect(ended.received, err)
+}
+
+func (w *Watcher) remove(closed *connection) {
+	w.connections = slices.DeleteFunc(w.connections, func(c *connection) bool { return c == closed })
+}
+
+// scheduleReconnect schedules the next connection after one lags or has ended, unless there is another that does not
+// lag. received reports whether any bytes were received on it.
+func (w *Watcher) scheduleReconnect(received bool, err error) {
 	level := slog.LevelWarn
 	if !received && w.reconnectDelayMS > minReconnectDelayMS {
 		level = slog.LevelDebug // the first failure was already logged, and the next successful connection will be
 	}
 	w.log.Log(context.Background(), level, "discovery connection lost", "error", err, "last_event", w.lastEvent)
+	usable := slices.ContainsFunc(w.connections, func(c *connection) bool { return !c.lagging })
+	if usable || w.reconnectPending {
+		return
+	}
+	w.reconnectPending = true
 	w.reconnect = w.loop.After(w.reconnectDelayMS*(minDelayFactor+w.random.Float64()), w.connect)
 	if !received {
 		w.reconnectDelayMS = min(2*w.reconnectDelayMS, maxReconnectDelayMS)
 	}
 }
 
+// cancelReconnect cancels the next connection if it is scheduled.
+func (w *Watcher) cancelReconnect() {
+	w.reconnect.Stop()
+	w.reconnectPending = false
+}
+
 // handleFrame parses a frame and reports its event, unless it is already known. It returns an error if the frame is
 // malformed or events are missing before it.
 func (w *Watcher) handleFrame(body []byte) error {
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -166,3 +166,106 @@
 		}
 	}
 }
+
+// lateServer plays discovery on the fake dialer's connections: it opens each at once, and all that it sends on one
+// arrives late. A connection with an index below silent stays silent.
+type lateServer struct {
+	t        *testing.T
+	dialer   *fakeDialer
+	lateMS   float64
+	silent   int
+	openedMS []float64
+	sent     []int // heartbeats that have arrived on each connection
+}
+
+// step delivers what has arrived by the time now.
+func (s *lateServer) step(nowMS float64) {
+	for i, handler := range s.dialer.handlers {
+		if i == len(s.openedMS) {
+			s.openedMS, s.sent = append(s.openedMS, nowMS), append(s.sent, 0)
+			handler.Opened(&fakeConn{dialer: s.dialer})
+		}
+		due := int((nowMS-s.openedMS[i]-s.lateMS)/1000) + 1
+		if nowMS-s.openedMS[i] < s.lateMS || i < s.silent {
+			due = 0
+		}
+		for ; s.sent[i] < due; s.sent[i]++ {
+			body := "0000000000000005" + "00"
+			if s.sent[i] == 0 {
+				body = eventFive + "02" + record
+			}
+			handler.Data(encodeFrame(s.t, body), nowMS)
+		}
+	}
+}
+
+// Guards against an endpoint list that is never heard: whatever discovery sends arrives late, so that every connection
+// that is closed for its silence would have brought the event. The event must arrive before it counts as told after 7 s,
+// also if the first connection is dead, and the router must not keep more connections than it needs.
+func TestLateDiscoveryIsHeard(t *testing.T) {
+	const toldMS = 7000.0
+	for _, test := range []struct {
+		name   string
+		lateMS float64
+		silent int // connections that stay silent
+	}{
+		{"in time", 100, 0},
+		{"2 s late", 2000, 0},
+		{"3 s late", 3000, 0},
+		{"4.9 s late", 4900, 0},
+		{"6.5 s late", 6500, 0},
+		{"30 s late", 30_000, 0},
+		{"first connection dead", 3000, 1},
+		{"two connections dead", 2000, 2},
+	} {
+		now := &clock.Manual{MS: 1e6}
+		loop := router.NewLoop(now)
+		server := &lateServer{t: t, dialer: &fakeDialer{}, lateMS: test.lateMS, silent: test.silent}
+		heardMS := 0.0
+		w := Watch(loop, server.dialer, "discovery:1", testNames, 4, func(Update) { heardMS = now.MS - 1e6 }, 1,
+			slog.New(slog.DiscardHandler))
+		for now.MS < 1e6+60_000 {
+			server.step(now.MS)
+			for loop.Step() {
+			}
+			if len(w.connections) > maxConnections {
+				t.Fatalf("%s: %d connections are open, at most %d are allowed", test.name, len(w.connections), maxConnections)
+			}
+			now.MS += 10
+		}
+		if want := max(toldMS, test.lateMS+100); heardMS == 0 || heardMS > want {
+			t.Errorf("%s: the event was heard after %v ms, want at most %v (0 is never)", test.name, heardMS, want)
+		}
+		if len(w.connections) != 1 {
+			t.Errorf("%s: %d connections are open after a minute, want 1", test.name, len(w.connections))
+		}
+		if dialed := len(server.dialer.handlers); test.lateMS < toldMS && dialed > 5 {
+			t.Errorf("%s: %d connections in a minute, want at most 5", test.name, dialed)
+		}
+	}
+}
+
+// A discovery service that stays silent is connected to again and again, and the oldest connection does not stay open
+// forever. No more than maxConnections are open.
+func TestSilentDiscoveryIsTriedAgain(t *testing.T) {
+	now := &clock.Manual{MS: 1e6}
+	loop := router.NewLoop(now)
+	server := &lateServer{t: t, dialer: &fakeDialer{}, silent: math.MaxInt}
+	w := Watch(loop, server.dialer, "discovery:1", testNames, 4, func(Update) {}, 1, slog.New(slog.DiscardHandler))
+	first := w.connections[0]
+	for now.MS < 1e6+2*maxSilenceMS {
+		server.step(now.MS)
+		for loop.Step() {
+		}
+		if len(w.connections) > maxConnections {
+			t.Fatalf("%d connections are open, at most %d are allowed", len(w.connections), maxConnections)
+		}
+		if first.closed && now.MS < 1e6+maxSilenceMS {
+			t.Fatalf("the first connection was closed after %v ms", now.MS-1e6)
+		}
+		now.MS += 10
+	}
+	if dialed := len(server.dialer.handlers); !first.closed || dialed < 40 {
+		t.Errorf("first connection closed %v, %d connections in two minutes, want at least 40", first.closed, dialed)
+	}
+}
--- a/internal/fleettest/discovery.go
+++ b/internal/fleettest/discovery.go
@@ -73,6 +73,7 @@
 	order        []dispatch.EngineID
 	recentFrames [][]byte // of the most recent events
 	connections  map[net.Conn]bool
+	lateness     time.Duration // see SetLateness
 
 	Accepted  atomic.Int64 // connections accepted so far
 	SentBytes atomic.Int64 // payload of all connections
@@ -104,6 +105,13 @@
 	return server, nil
 }
 
+// SetLateness makes all that the server sends on later connections arrive late, in order, as on a crowded path.
+func (s *DiscoveryServer) SetLateness(lateness time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.lateness = lateness
+}
+
 // Close stops the server and closes its connections.
 func (s *DiscoveryServer) Close() {
 	_ = s.listener.Close()
@@ -222,13 +230,15 @@
 		defer close(closed)
 		_, _ = io.Copy(io.Discard, conn)
 	}()
+	path := s.newPath(conn)
+	defer path.close()
 	last := binary.BigEndian.Uint64(request[:])
 	heartbeat := time.NewTicker(heartbeatInterval)
 	defer heartbeat.Stop()
 	for {
 		frames, now, changed := s.framesAfter(last)
 		for _, frame := range frames {
-			if !s.write(conn, frame) {
+			if !path.write(frame) {
 				return
 			}
 		}
@@ -238,7 +248,7 @@
 		case <-closed:
 			return
 		case <-heartbeat.C:
-			if !s.write(conn, encodeFrame(last, heartbeatFrame, nil)) {
+			if !path.write(encodeFrame(last, heartbeatFrame, nil)) {
 				return
 			}
 		}
