Keeper client: give late answers more time once no keeper has answered

Callers saw: a router whose keepers answer later than 2 s beyond the requested wait never got a revision.

Change: whenever no keeper has answered in time, the extra time doubles, up to 16 s; an answer that is not late resets it. A single keeper that hangs beside others changes nothing.

Evidence: TestLateAnswersAreHeard fails with the former limit (no revision within 15 s) and passes now.

--- a/internal/configclient/client.go
+++ b/internal/configclient/client.go
@@ -13,8 +13,10 @@
 )
 
 const (
-	// answerTimeout is the time that a keeper has for its answer in addition to the requested wait.
-	answerTimeout = 2 * time.Second
+	// answerTimeout is the time that a keeper has for its answer in addition to the requested wait. It doubles, up to
+	// maxAnswerTimeout, whenever no keeper has answered in time: their answers may only be late.
+	answerTimeout    = 2 * time.Second
+	maxAnswerTimeout = 16 * time.Second
 	// earlyAnswerDelay is the mean wait before the next poll if the keeper has answered without a newer revision after
 	// less than half of the requested wait.
 	earlyAnswerDelay = 200 * time.Millisecond
@@ -37,6 +39,7 @@
 	apply          Apply
 	limiter        changeLimiter
 	lastCallFailed bool
+	timeoutsInRow  int // calls without an answer in time since the last answer that was not late
 
 	stopped    context.Context // canceled by stop
 	stop       context.CancelFunc
@@ -185,8 +188,11 @@
 	address := config.Addresses[c.follower.SelectKeeper(len(config.Addresses))]
 	c.Counters.Polls.Add(1)
 	sentAt := time.Now()
-	callCtx, cancel := context.WithTimeout(ctx, wait+answerTimeout)
+	callCtx, cancel := context.WithTimeout(ctx, wait+c.answerTimeout(len(config.Addresses)))
 	update, isNewer, err := c.keeper.poll(callCtx, address, c.follower.Status(), config.MaxPollWaitMS)
+	if callCtx.Err() != nil {
+		c.timeoutsInRow++
+	}
 	cancel()
 	if ctx.Err() != nil {
 		return // cancelled by this process, which is not a failure of the keeper
@@ -195,6 +201,9 @@
 		c.callFailed(ctx, address, err)
 		return
 	}
+	if time.Since(sentAt) < wait+answerTimeout {
+		c.timeoutsInRow = 0
+	}
 	if c.lastCallFailed {
 		c.lastCallFailed = false
 		c.log.Info("keeper reachable", "keeper", address)
@@ -214,6 +223,15 @@
 	c.limiter.wait(ctx)
 }
 
+// answerTimeout returns the time that one of the keepers has for its answer in addition to the requested wait.
+func (c *Client) answerTimeout(keepers int) time.Duration {
+	timeout := answerTimeout
+	for timeouts := c.timeoutsInRow; timeouts >= keepers && timeout < maxAnswerTimeout; timeouts -= keepers {
+		timeout *= 2
+	}
+	return timeout
+}
+
 // callFailed counts and logs a failed call and waits for the backoff time. The first failure in a row is logged as a
 // warning, the following ones at level Debug.
 func (c *Client) callFailed(ctx context.Context, address string, err error) {
--- a/internal/configclient/client_test.go
+++ b/internal/configclient/client_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"log/slog"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync"
 	"testing"
@@ -266,3 +267,21 @@
 		t.Errorf("revision %d is in force, want 7", client.Latest().Revision)
 	}
 }
+
+// Guards against a configuration that is never heard: each answer of the keepers is later than a call usually waits.
+func TestLateAnswersAreHeard(t *testing.T) {
+	const lateness = answerTimeout + time.Second
+	keeper, router := keepertest.New(t), newFakeRouter()
+	late := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		time.Sleep(lateness)
+		keeper.ServeHTTP(w, r)
+	}))
+	t.Cleanup(late.Close)
+	revision := keeper.Change(overQuotaWeight("0.1"))
+	client := New(Config{
+		Addresses: []string{late.Listener.Addr().String()}, Dir: t.TempDir(), MaxPollWaitMS: 100,
+	}, "n/0", configlog.NewInstanceID(1, 1), discardLog)
+	t.Cleanup(client.Stop)
+	client.Start(router.apply)
+	router.waitFor(t, revision)
+}
