Router core: a client that leaves no longer takes an engine's capacity with it

Callers saw: after a stop of a second, in which clients left, an idle engine got nothing any more; a client that stayed waited for its whole budget and was rejected.

Cause: the dispatch module handles the events of a step in order. It starts an attempt for a queued request before it reads that its client has left; the core had removed the request by then, dropped the attempt and never reported its end, so that the module counted it at the engine forever.

Invariant: every attempt that the module starts ends, and a client that has left gets none.

Change: the core keeps a request until the module has handled every event about it and the actions of that step were executed; an attempt of a request that has ended ends as not sent. This also covers a request that a handler submits from within an answer, which was unmarked before the module had its arrival.

Evidence: TestClientsLeaveWhileEngineBecomesFree, played on the code before, fails: 8 attempts count as running after all have ended, 9 after a client left at its retry. It passes now.

--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -147,7 +147,7 @@
 
 // queueArrival queues the arrival of a request for the dispatch module.
 func (c *Core) queueArrival(request *request) {
-	c.requests.markArriving(request)
+	c.requests.markQueued(request)
 	c.queue.add(dispatch.Arrival{
 		Request: request.key, Class: request.Class, Tenant: request.Tenant, TableGroup: request.TableGroup,
 		Estimate: clock.Duration(request.EstimateMS), NeedMB: request.NeedMB,
--- a/internal/router/decide.go
+++ b/internal/router/decide.go
@@ -14,7 +14,7 @@
 	}
 	for !c.queue.empty() {
 		now := clock.Duration(c.loop.Now())
-		events := c.queue.take()
+		events, queued := c.queue.take(), c.requests.takeQueued()
 		c.actions = c.actions[:0]
 		for _, event := range events {
 			c.actions = c.module.Handle(now, event, c.actions)
@@ -26,8 +26,9 @@
 			c.execute(action)
 		}
 		c.endpoints.delete(removed)
-		c.requests.finishArrivals()
+		c.requests.finishQueued(queued)
 	}
+	c.requests.finishQueued(c.requests.takeQueued()) // no event about them is left
 }
 
 // execute executes one action of the dispatch module.
--- a/internal/router/races_test.go
+++ b/internal/router/races_test.go
@@ -143,3 +143,95 @@
 		}
 	}
 }
+
+// runningAttempts returns the number of attempts that the dispatch module counts at the harness's engine.
+func (h *harness) runningAttempts() int {
+	var view dispatch.View
+	h.core.FillView(&view)
+	return view.Engines[0].Running
+}
+
+// Guards against an engine that gets no work any more: clients leave in the same step in which an engine becomes free
+// for their queued requests, or in which an attempt ends that would be retried. The dispatch module starts an attempt
+// before it learns that the client has left; it must learn that this attempt was not sent.
+func TestClientsLeaveWhileEngineBecomesFree(t *testing.T) {
+	h := newHarness(t, func(cfg *dispatch.Config) { cfg.MaxAttempts = 5 })
+	var handles []Handle
+	const requests = 200
+	for range requests {
+		_, handle := h.submit("load", 20_000, 0)
+		handles = append(handles, handle)
+	}
+	sent := len(h.client.calls)
+	if sent == 0 || sent == requests {
+		t.Fatalf("%d of %d requests were sent, want some to be queued", sent, requests)
+	}
+	h.loop.Post(func() {
+		for i := range sent {
+			h.client.done[i](End{Outcome: dispatch.Served, Result: &Result{}})
+		}
+		for _, handle := range handles[sent:] {
+			h.core.Abandon(handle)
+		}
+	})
+	h.advance(1000)
+	if running := h.runningAttempts(); running != 0 || len(h.client.calls) != sent {
+		t.Errorf("%d attempts count as running, %d were sent for clients that had left; want none",
+			running, len(h.client.calls)-sent)
+	}
+	_, retried := h.submit("lookup", 5000, 0)
+	last := len(h.client.calls) - 1
+	h.loop.Post(func() {
+		h.client.done[last](End{Outcome: dispatch.ConnectionReset})
+		h.core.Abandon(retried)
+	})
+	h.advance(1000)
+	if running := h.runningAttempts(); running != 0 {
+		t.Errorf("%d attempts count as running after a client left at its retry, want none", running)
+	}
+	if kept := len(h.core.requests.byKey); kept != 0 {
+		t.Errorf("%d requests are kept, want none", kept)
+	}
+	if handler, _ := h.submit("lookup", 5000, 0); len(h.client.calls) != last+2 {
+		t.Errorf("a request of a client that stays was not sent, its answers: %v", handler.answers)
+	}
+}
+
+// submittingHandler submits another request from within the answer to its own.
+type submittingHandler struct {
+	recordingHandler
+	submit func()
+}
+
+func (h *submittingHandler) Served(result *Result) {
+	h.recordingHandler.Served(result)
+	h.submit()
+}
+
+// A request that is submitted from within an answer, and abandoned in the same step, leaves nothing behind.
+func TestSubmitWithinAnswer(t *testing.T) {
+	h := newHarness(t)
+	second := Handle{}
+	handler := &submittingHandler{submit: func() {
+		var err error
+		request := &Request{ID: "00000000000000ff", Class: "lookup", Statement: "S", SentAtMS: h.clock.MS, BudgetMS: 3000}
+		if second, err = h.core.Submit(request, &recordingHandler{}); err != nil {
+			t.Error(err)
+		}
+	}}
+	h.loop.Post(func() {
+		request := &Request{ID: "00000000000000fe", Class: "lookup", Statement: "S", SentAtMS: h.clock.MS, BudgetMS: 3000}
+		if _, err := h.core.Submit(request, handler); err != nil {
+			t.Error(err)
+		}
+	})
+	h.runLoop()
+	h.loop.Post(func() {
+		h.client.done[0](End{Outcome: dispatch.Served, Result: &Result{}})
+		h.core.Abandon(second)
+	})
+	h.advance(1000)
+	if running, kept := h.runningAttempts(), len(h.core.requests.byKey); running != 0 || kept != 0 {
+		t.Errorf("%d attempts count as running, %d requests are kept; want none", running, kept)
+	}
+}
--- a/internal/router/request_table.go
+++ b/internal/router/request_table.go
@@ -19,7 +19,7 @@
 	grantMB     float64
 	priority    int
 	guard       *Timer // see answerGuardMS
-	arriving    bool   // the dispatch module has not handled the arrival yet, and may still start attempts
+	queued      int    // times in requestTable.queued
 }
 
 // open reports whether the request has not been answered or abandoned yet.
@@ -34,10 +34,10 @@
 
 // requestTable holds requests from their submission until they are answered or abandoned and all attempts have ended.
 type requestTable struct {
-	byKey    map[dispatch.RequestID]*request
-	open     map[string]*request // by the client's id
-	arriving []*request          // requests whose arrival is queued for the dispatch module
-	lastKey  uint64
+	byKey   map[dispatch.RequestID]*request
+	open    map[string]*request // by the client's id
+	queued  []*request          // see markQueued
+	lastKey uint64
 }
 
 func newRequestTable() *requestTable {
@@ -70,20 +70,27 @@
 // openIDs returns the clients' ids of the open requests, sorted.
 func (t *requestTable) openIDs() []string { return slices.Sorted(maps.Keys(t.open)) }
 
-// markArriving marks a request whose arrival is queued for the dispatch module.
-func (t *requestTable) markArriving(request *request) {
-	request.arriving = true
-	t.arriving = append(t.arriving, request)
+// markQueued marks a request whose arrival or end is queued for the dispatch module. The request is kept until the
+// module has handled that and its actions were executed: the module may start an attempt before it learns of the end,
+// and must learn that this attempt was not sent.
+func (t *requestTable) markQueued(request *request) {
+	request.queued++
+	t.queued = append(t.queued, request)
 }
 
-// finishArrivals unmarks the arriving requests after the dispatch module has handled their arrivals, and removes those
-// that have ended.
-func (t *requestTable) finishArrivals() {
-	for _, request := range t.arriving {
-		request.arriving = false
+// takeQueued returns the requests that are marked, for finishQueued.
+func (t *requestTable) takeQueued() []*request {
+	queued := t.queued
+	t.queued = nil
+	return queued
+}
+
+// finishQueued unmarks requests, and removes those that have ended.
+func (t *requestTable) finishQueued(queued []*request) {
+	for _, request := range queued {
+		request.queued--
 		t.removeEnded(request)
 	}
-	t.arriving = t.arriving[:0]
 }
 
 // close marks a request as answered or abandoned, and returns its handler.
@@ -91,12 +98,13 @@
 	handler := request.handler
 	request.handler = nil
 	delete(t.open, request.ID)
+	t.markQueued(request)
 	return handler
 }
 
-// removeEnded removes a request if it is not open and has no outstanding attempt.
+// removeEnded removes a request if it is not open, has no outstanding attempt and is not marked as queued.
 func (t *requestTable) removeEnded(request *request) {
-	if !request.open() && request.outstanding == 0 {
+	if !request.open() && request.outstanding == 0 && request.queued == 0 {
 		delete(t.byKey, request.key)
 	}
 }
--- a/internal/router/responder.go
+++ b/internal/router/responder.go
@@ -130,9 +130,6 @@
 	request.guard.Stop()
 	r.ids.publish(request.ID, IDDone)
 	r.attempts.cancelAllUnsent(request)
-	if !request.arriving {
-		r.requests.removeEnded(request)
-	}
 	return handler
 }
 
