Clients' connections take turns, so that a flood of one delays no other

Cause: each read of up to 32 kB was one function in the loop's queue, handled whole and in order of arrival, with a system call for each answer. One connection could have 4 MB there.

Invariant: what one client sends does not keep others from their answers.

Change: each connection has its own queue of what was read; those with something in it take turns, with 4 kB of a client's data a turn, and answers of a turn are written together. The poller reads once from a connection in a round. Timers after a stall wait for these queues, for 0.2 s at most. Also, a session submits nothing for a client whose end the kernel knows of already while data before it is unread (Conn.PeerClosed).

--- a/internal/admin/golden_test.go
+++ b/internal/admin/golden_test.go
@@ -25,6 +25,7 @@
 func (c *rawConn) NotifyFlushed(f func())  { f() }
 func (c *rawConn) Detach(f func(*os.File)) { f(nil) }
 func (c *rawConn) HasUnread() bool         { return false }
+func (c *rawConn) PeerClosed() bool        { return false }
 
 // goldenRequests are valid and invalid requests for each path; notReady is the reason why the router is not ready.
 var goldenRequests = []struct{ request, notReady string }{
--- a/internal/admin/server_test.go
+++ b/internal/admin/server_test.go
@@ -60,6 +60,7 @@
 func (c *fakeConn) NotifyFlushed(f func())  { f() }
 func (c *fakeConn) Detach(f func(*os.File)) { f(nil) }
 func (c *fakeConn) HasUnread() bool         { return false }
+func (c *fakeConn) PeerClosed() bool        { return false }
 
 // TestExchanges replays the recorded exchanges in testdata. It checks that each request, valid or invalid, whole or in
 // parts, gets one response, and that clients that send nothing do not block the others. The commands are: NAME opens a
--- a/internal/bgp/speaker_test.go
+++ b/internal/bgp/speaker_test.go
@@ -60,6 +60,7 @@
 func (p *fakePeer) NotifyFlushed(f func())  { f() }
 func (p *fakePeer) Detach(f func(*os.File)) { f(nil) }
 func (p *fakePeer) HasUnread() bool         { return false }
+func (p *fakePeer) PeerClosed() bool        { return false }
 
 func (p *fakePeer) wait(ms float64) {
 	for end := p.now.MS + ms; p.now.MS < end; p.now.MS += 100 {
--- a/internal/discovery/watcher_test.go
+++ b/internal/discovery/watcher_test.go
@@ -36,6 +36,7 @@
 func (c *fakeConn) NotifyFlushed(f func())  { f() }
 func (c *fakeConn) Detach(f func(*os.File)) { f(nil) }
 func (c *fakeConn) HasUnread() bool         { return false }
+func (c *fakeConn) PeerClosed() bool        { return false }
 
 // TestReconnectsFromLastValidEvent checks that an invalid frame, a gap between events or a timeout ends the connection,
 // and that the next connection continues after the last valid event. Otherwise events would be lost or reported twice.
--- a/internal/enginehttp/harness_test.go
+++ b/internal/enginehttp/harness_test.go
@@ -73,6 +73,7 @@
 func (c *fakeConn) NotifyFlushed(f func())  { f() }
 func (c *fakeConn) Detach(f func(*os.File)) { f(nil) }
 func (c *fakeConn) HasUnread() bool         { return c.unread }
+func (c *fakeConn) PeerClosed() bool        { return false }
 
 func (c *fakeConn) Close() {
 	if !c.closed {
--- a/internal/mysql/command.go
+++ b/internal/mysql/command.go
@@ -70,6 +70,10 @@
 	if err != nil {
 		return err
 	}
+	if s.conn.PeerClosed() { // its client has left: nothing may begin for it any more
+		s.close()
+		return nil
+	}
 	s.busy = true
 	s.handle, err = s.core.Submit(request, s)
 	return err
--- a/internal/mysql/harness_test.go
+++ b/internal/mysql/harness_test.go
@@ -38,9 +38,10 @@
 
 // fakeConn is a connection that records what the session writes to it.
 type fakeConn struct {
-	written []byte
-	closed  bool
-	unread  bool // the client has sent bytes that the session has not read
+	written    []byte
+	closed     bool
+	unread     bool // the client has sent bytes that the session has not read
+	peerClosed bool // the client has closed the connection
 }
 
 func (c *fakeConn) Write(b []byte) error {
@@ -54,6 +55,7 @@
 func (c *fakeConn) NotifyFlushed(f func())  { f() }
 func (c *fakeConn) Detach(f func(*os.File)) { f(nil) }
 func (c *fakeConn) HasUnread() bool         { return c.unread }
+func (c *fakeConn) PeerClosed() bool        { return c.peerClosed }
 
 // harness replays an exchange of several named clients with one front, on a clock that the exchange advances.
 type harness struct {
--- a/internal/mysql/session.go
+++ b/internal/mysql/session.go
@@ -20,6 +20,10 @@
 	idleTimeoutMS = 10_000.0
 )
 
+// maxPacketsPerTurn is the number of packets of one session that are handled in one turn of the loop. It exceeds the
+// number of packets that fit into the data of one turn, so that the buffer does not grow from turn to turn.
+const maxPacketsPerTurn = 1024
+
 // session is the connection of one client. It implements netio.Handler and router.ResponseHandler.
 type session struct {
 	front    *Front
@@ -120,9 +124,13 @@
 }
 
 // processBuffer handles the complete packets in the buffer until a request is open. A packet over maxPacket closes the
-// session.
+// session. Beyond maxPacketsPerTurn, it goes on in a later step of the loop, so that other sessions get their turn.
 func (s *session) processBuffer() {
-	for !s.closed && !s.busy && len(s.buffer) >= headerLength {
+	for packets := 0; !s.closed && !s.busy && len(s.buffer) >= headerLength; packets++ {
+		if packets == maxPacketsPerTurn {
+			s.loop.Post(s.processBuffer)
+			return
+		}
 		n := int(s.buffer[0]) | int(s.buffer[1])<<8 | int(s.buffer[2])<<16
 		if n > maxPacket {
 			s.counters.BadPackets++
--- a/internal/netio/conn.go
+++ b/internal/netio/conn.go
@@ -19,6 +19,9 @@
 	CloseGracefully()
 	// HasUnread reports whether the peer has sent bytes that the handler has not received yet.
 	HasUnread() bool
+	// PeerClosed reports whether the peer has closed the connection, or its sending side, although the handler may not
+	// have received all that the peer sent before.
+	PeerClosed() bool
 	// Detach releases the connection without closing it. After all bytes read so far were passed to the handler, fn is
 	// called with the connection's descriptor, which fn must close; the handler is not called afterwards. If the
 	// connection cannot be detached, fn is called with nil and the connection is unchanged.
--- a/internal/netio/listener.go
+++ b/internal/netio/listener.go
@@ -102,6 +102,7 @@
 	}
 	_ = conn.SetNoDelay(true)
 	s := l.poller.newSocket(nil)
+	s.quantum = clientQuantum
 	s.conn = conn
 	conn.SetSession(s)
 	l.pending.Add(1)
--- a/internal/netio/poller.go
+++ b/internal/netio/poller.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/lesismal/nbio"
@@ -24,7 +25,8 @@
 	registrar *registrar
 	budget    *readBudget
 	closes    *gracefulCloses
-	listener  *Listener // the listener that New opened; nil if there is none
+	backlog   atomic.Int32 // connections with events that the loop has not handled
+	listener  *Listener    // the listener that New opened; nil if there is none
 
 	mu        sync.Mutex
 	listeners []*Listener
@@ -40,7 +42,7 @@
 	}
 	poller.engine = nbio.NewEngine(nbio.Config{
 		Name: "windflow", Network: "tcp", NPoller: 1,
-		ReadBufferSize: readBufferSize, MaxWriteBufferSize: maxUnwritten,
+		ReadBufferSize: readBufferSize, MaxConnReadTimesPerEventLoop: 1, MaxWriteBufferSize: maxUnwritten,
 	})
 	poller.engine.OnData(poller.handleData)
 	poller.engine.OnClose(poller.handleClose)
@@ -74,11 +76,13 @@
 	if p.registrar, err = newRegistrar(p.engine); err != nil {
 		return err
 	}
-	p.loop.OnStall = p.registrar.afterPending
+	p.loop.OnStall = func(caughtUp func()) {
+		p.registrar.afterPending(func() { p.afterBacklog(p.loop.Now()+maxBacklogWaitMS, caughtUp) })
+	}
 	return nil
 }
 
-// handleData posts the bytes that were read on a connection to the loop. It is called in the poller's goroutine, as are
+// handleData queues the bytes that were read on a connection for the loop. It is called in the poller's goroutine, as are
 // handleClose and handleWritten.
 func (p *Poller) handleData(conn *nbio.Conn, b []byte) {
 	sock, ok := conn.Session().(*socket)
@@ -89,20 +93,16 @@
 	if p.closes.discard(conn, len(b)) {
 		return
 	}
-	at, data := p.loop.Now(), append([]byte(nil), b...)
+	data := append([]byte(nil), b...)
 	sock.pendingReads.Add(1)
 	p.budget.acquire(len(data))
-	p.loop.Post(func() {
-		sock.pendingReads.Add(-1)
-		p.budget.release(len(data))
-		sock.deliver(data, at)
-	})
+	p.enqueue(sock, inboundEvent{data: data, atMS: p.loop.Now()})
 }
 
-// handleClose posts the end of a connection to the loop.
+// handleClose queues the end of a connection behind the data that was read on it.
 func (p *Poller) handleClose(conn *nbio.Conn, err error) {
 	if s, ok := conn.Session().(*socket); ok {
-		p.loop.Post(func() { s.handleClosed(err) })
+		p.enqueue(s, inboundEvent{closed: true, err: err})
 	}
 }
 
--- a/internal/netio/socket.go
+++ b/internal/netio/socket.go
@@ -29,8 +29,12 @@
 	closing     bool          // a graceful close is in progress
 	closeTimer  *router.Timer // the current time limit of the graceful close
 
-	pendingReads atomic.Int32 // reads posted to the loop and not handled yet
-	flushWanted  atomic.Bool  // whether onFlushed has entries
+	inbound      inboundQueue
+	quantum      int          // bytes that the handler receives in one turn of the loop; 0 for no limit
+	pendingReads atomic.Int32 // reads that the handler has not received whole
+	batching     bool         // writes are collected in batch, while the handler of a client handles data
+	batch        []byte
+	flushWanted  atomic.Bool // whether onFlushed has entries
 	onFlushed    []func()
 	onDetached   func() // called in place of the handler's Closed
 }
@@ -75,10 +79,24 @@
 	}
 }
 
-// deliver passes data to the handler, unless the connection is closed or closes gracefully.
+// deliver passes data to the handler, unless the connection is closed or closes gracefully. The answers that a client's
+// handler writes meanwhile are sent together: a client may send thousands of small commands at once.
 func (s *socket) deliver(data []byte, atMS float64) {
-	if s.handler != nil && !s.closed && !s.closing {
-		s.handler.Data(data, atMS)
+	if s.handler == nil || s.closed || s.closing {
+		return
+	}
+	s.batching = s.quantum > 0
+	s.handler.Data(data, atMS)
+	s.endBatch()
+}
+
+// endBatch sends the bytes that were written while data was handled.
+func (s *socket) endBatch() {
+	s.batching = false
+	batch := s.batch
+	s.batch = nil
+	if len(batch) > 0 {
+		_ = s.Write(batch)
 	}
 }
 
@@ -105,6 +123,7 @@
 // Detach implements Conn. It duplicates the descriptor and lets the poller close its own, so that only the duplicate
 // still refers to the connection.
 func (s *socket) Detach(fn func(*os.File)) {
+	s.endBatch()
 	if s.closed || s.closing || s.conn == nil || queuedBytes(s.conn) > 0 {
 		fn(nil)
 		return
@@ -139,6 +158,10 @@
 	if s.conn == nil || s.closed {
 		return net.ErrClosed
 	}
+	if s.batching {
+		s.batch = append(s.batch, b...)
+		return nil
+	}
 	_, err := s.conn.Write(b) // nbio accepts all bytes, or returns an error, accepts none and closes the connection
 	return err
 }
@@ -158,6 +181,20 @@
 	return unread
 }
 
+// PeerClosed implements Conn. The kernel knows of the end before the poller has read what precedes it.
+func (s *socket) PeerClosed() bool {
+	if s.closed || s.conn == nil || s.inbound.hasEnded() {
+		return true
+	}
+	ended := false
+	s.withDescriptor(func(fd int) {
+		events := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		_, err := unix.Poll(events, 0)
+		ended = err == nil && events[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return ended
+}
+
 // HasUnread reports whether the kernel holds bytes that the peer of a connection has sent.
 func HasUnread(conn syscall.Conn) bool {
 	raw, err := conn.SyscallConn()
@@ -171,6 +208,7 @@
 
 // NotifyFlushed implements Conn.
 func (s *socket) NotifyFlushed(fn func()) {
+	s.endBatch()
 	s.onFlushed = append(s.onFlushed, fn)
 	s.flushWanted.Store(true)
 	s.flush()
@@ -203,6 +241,7 @@
 	if s.closed {
 		return
 	}
+	s.endBatch()
 	s.loop.Post(func() { s.handleClosed(net.ErrClosed) })
 	if s.conn != nil {
 		_ = s.conn.Close()
@@ -214,6 +253,7 @@
 	if s.closed || s.closing {
 		return
 	}
+	s.endBatch()
 	if s.conn == nil || !s.closes.begin(s.conn) {
 		s.Close()
 		return
--- a/internal/node/interleaving_harness_test.go
+++ b/internal/node/interleaving_harness_test.go
@@ -86,6 +86,7 @@
 }
 func (p *simulatedConn) CloseGracefully()        { p.Close() }
 func (p *simulatedConn) HasUnread() bool         { return len(p.unread) > 0 }
+func (p *simulatedConn) PeerClosed() bool        { return false }
 func (p *simulatedConn) Detach(f func(*os.File)) { f(nil) }
 func (p *simulatedConn) NotifyFlushed(f func())  { f() }
 
@@ -202,6 +203,7 @@
 }
 func (c *simulatedClient) CloseGracefully()        { c.Close() }
 func (c *simulatedClient) HasUnread() bool         { return false }
+func (c *simulatedClient) PeerClosed() bool        { return false }
 func (c *simulatedClient) Detach(f func(*os.File)) { f(nil) }
 func (c *simulatedClient) NotifyFlushed(f func())  { f() }
 
