Flight SQL front: one budget for the heads and messages of all calls

Cause: a message, a head and the calls of a connection were bounded each, their product was not; a short header field was counted by its bytes on the wire; and no time limit ended a call whose message did not come.

Invariant: what a peer sends is bounded before it is decoded, by one budget for the process.

Change: callLimiter admits calls at their headers, counts fields with what they take in memory and messages with their longest length until they have arrived, within an eighth of the memory limit. Beyond that a call is refused, before anything of it is begun. 100 header fields, 2 s for the message; the answer must be read within the rest of the request's time, 10 s at least.

Not tested: a client that never reads its answer.

--- a/internal/flightsql/front.go
+++ b/internal/flightsql/front.go
@@ -27,12 +27,13 @@
 	maxCall = 2 * maxStatement
 	// maxHeaderList bounds the headers of a call, in bytes.
 	maxHeaderList = 16 << 10
-	// maxStreams bounds the concurrent calls of one connection. If every call on every connection stopped in the
-	// middle of its message, the calls would occupy max_connections * maxStreams * maxCall. With the default of 32
-	// connections, that is 128 MB of a router's memory limit of 192 MB.
+	// maxStreams bounds the concurrent calls of one connection. The memory for the calls of all connections is bounded by
+	// callLimiter.
 	maxStreams = 32
 	// flowControlWindow is the HTTP/2 flow-control window in bytes. gRPC does not enlarge a window that is set.
 	flowControlWindow = 64 << 10
+	// connReadBuffer and connWriteBuffer are the sizes of the buffers of a connection, in bytes.
+	connReadBuffer, connWriteBuffer = 8 << 10, 32 << 10
 	// handshakeTimeout bounds the time to set up a connection.
 	handshakeTimeout = 5 * time.Second
 	// acceptRetryDelay is the delay after a failed accept. Without free descriptors, each accept fails at once.
@@ -60,6 +61,7 @@
 	Cancelled  atomic.Int64 `status:"left"`
 	Evicted    atomic.Int64 `status:"evicted"`     // idle connections that made room for others
 	TurnedAway atomic.Int64 `status:"turned_away"` // connections that were closed unread
+	Expired    atomic.Int64 `status:"timed_out"`   // calls whose client took too long to send or to read
 }
 
 // Front serves clients that speak Flight SQL. Its methods are safe for concurrent use.
@@ -68,6 +70,7 @@
 	service *service
 	tickets *ticketStore
 	clients *connectionSet
+	calls   *callLimiter
 	addr    string
 
 	listenerMu sync.Mutex
@@ -87,6 +90,7 @@
 	if front.service, err = newService(core, loop, front.tickets, &front.Counters, front.Addr); err != nil {
 		return nil, err
 	}
+	front.calls = &callLimiter{counters: &front.Counters, limit: defaultCallBytes}
 	front.clients = newConnectionSet(cfg.MaxConnections, front.newServer, loop.Now, &front.Counters)
 	return front, nil
 }
@@ -96,12 +100,16 @@
 	guard := &panicRecovery{log: f.log, counters: &f.Counters}
 	server := grpc.NewServer(grpc.MaxRecvMsgSize(maxCall), grpc.MaxConcurrentStreams(maxStreams),
 		grpc.InitialWindowSize(flowControlWindow), grpc.InitialConnWindowSize(flowControlWindow),
-		grpc.ConnectionTimeout(handshakeTimeout), grpc.MaxHeaderListSize(maxHeaderList),
+		grpc.ReadBufferSize(connReadBuffer), grpc.WriteBufferSize(connWriteBuffer),
+		grpc.InTapHandle(f.calls.admit), grpc.ConnectionTimeout(handshakeTimeout), grpc.MaxHeaderListSize(maxHeaderList),
 		grpc.UnaryInterceptor(guard.unary), grpc.StreamInterceptor(guard.stream))
 	flight.RegisterFlightServiceServer(server, flightsql.NewFlightServer(f.service))
 	return server
 }
 
+// LimitCallBytes sets the limit of the memory for the headers and messages of all open calls, in bytes.
+func (f *Front) LimitCallBytes(limit int) { f.calls.setLimit(limit) }
+
 // Serve takes ownership of a listener and accepts connections on it until StopAccepting or Stop. It does not block.
 func (f *Front) Serve(lis net.Listener) {
 	f.listenerMu.Lock()
--- a/internal/flightsql/guard.go
+++ b/internal/flightsql/guard.go
@@ -34,6 +34,7 @@
 	ctx context.Context, req any, info *grpc.UnaryServerInfo, next grpc.UnaryHandler,
 ) (reply any, err error) {
 	defer g.recoverCall(info.FullMethod, &err)
+	callOf(ctx).messageArrived(req)
 	return next(ctx, req)
 }
 
@@ -41,5 +42,5 @@
 	srv any, stream grpc.ServerStream, info *grpc.StreamServerInfo, next grpc.StreamHandler,
 ) (err error) {
 	defer g.recoverCall(info.FullMethod, &err)
-	return next(srv, stream)
+	return next(srv, callStream{stream})
 }
--- a/internal/flightsql/service.go
+++ b/internal/flightsql/service.go
@@ -13,6 +13,7 @@
 	"google.golang.org/grpc/status"
 
 	"windflow/dispatch"
+	"windflow/internal/clock"
 	"windflow/internal/router"
 )
 
@@ -164,6 +165,10 @@
 func (s *service) run(ctx context.Context, request *router.Request) (*router.Result, error) {
 	s.activeCalls.Add(1)
 	defer s.activeCalls.Add(-1)
+	callOf(ctx).requestOpened()
+	defer func() {
+		callOf(ctx).requestAnswered(clock.Duration(request.SentAtMS + request.BudgetMS - s.loop.Now()))
+	}()
 	answers := make(answerChan, 1)
 	var handle router.Handle // used in the loop only
 	s.loop.Post(func() {
--- a/internal/node/golden_figures_test.go
+++ b/internal/node/golden_figures_test.go
@@ -64,7 +64,7 @@
 }
 
 // addedCounters are the counters that the golden files do not have, because they were added later.
-var addedCounters = []string{"flightsql.evicted", "flightsql.turned_away"}
+var addedCounters = []string{"flightsql.evicted", "flightsql.turned_away", "flightsql.timed_out"}
 
 // withoutAdded returns the names of counters, a line each, without those of addedCounters. It fails the test if one of
 // these is not there exactly once.
--- a/internal/node/part_flight.go
+++ b/internal/node/part_flight.go
@@ -55,6 +55,7 @@
 			if err != nil {
 				return err
 			}
+			flight.front.LimitCallBytes(l.mysql.MaxBuffered)
 			flight.front.SetTicketClaimer(flight.claims.claim)
 			n.log.Info("flight sql listening", "listen", cfg.Listen, "engine_kinds", cfg.EngineKinds)
 			return nil
@@ -68,6 +69,7 @@
 				kept, updated.MaxConnections = append(kept, "/flightsql/max_connections"), cfg.MaxConnections
 			}
 			flight.client.Configure(l.engines.ConnectTimeoutMS)
+			flight.front.LimitCallBytes(l.mysql.MaxBuffered)
 			services.byKind.Clients = flight.clientsOf(updated.EngineKinds)
 			return kept
 		},
