HTTP engine client: bound the headers of a response by their number

Seen: an engine's response head was bounded by 8 kB only while its end had not come, and a head of short fields was parsed into far more memory than its bytes.

Change: a head has 8 kB and 100 headers at most; otherwise the response is invalid, as other malformed ones are.

Evidence: TestResponseHeadIsBounded fails on the code before for both and passes now.

--- a/internal/enginehttp/response.go
+++ b/internal/enginehttp/response.go
@@ -17,6 +17,9 @@
 	maxChunkLine = 64       // the line with the size of a chunk
 )
 
+// maxHeaderFields is the maximum number of headers of a response. A short one takes far more memory than bytes.
+const maxHeaderFields = 100
+
 // maxInterim is the number of interim (1xx) responses that may precede the final response.
 const maxInterim = 8
 
@@ -46,7 +49,7 @@
 // is nil and the length 0 if data is incomplete. It returns an error if the response is malformed or exceeds a limit;
 // the end of the response is then unknown.
 func parseResponse(data []byte) (*response, int, error) {
-	end := bytes.Index(data, headEnd)
+	end := bytes.Index(data[:min(len(data), maxHead+len(headEnd))], headEnd)
 	if end < 0 {
 		if len(data) > maxHead {
 			return nil, 0, fmt.Errorf("response head is unterminated after %d bytes", maxHead)
@@ -79,6 +82,9 @@
 
 // parseHead parses the status line and the headers, without the empty line that ends them.
 func parseHead(head string) (*response, error) {
+	if fields := strings.Count(head, "\r\n"); fields > maxHeaderFields {
+		return nil, fmt.Errorf("response has %d headers, at most %d are allowed", fields, maxHeaderFields)
+	}
 	lines := strings.Split(head, "\r\n")
 	proto, statusAndReason, _ := strings.Cut(lines[0], " ")
 	code, _, _ := strings.Cut(statusAndReason, " ")
--- a/internal/enginehttp/response_test.go
+++ b/internal/enginehttp/response_test.go
@@ -88,3 +88,25 @@
 		}
 	})
 }
+
+// Guards against heads that are large in memory for their length, or are parsed although they are too long: the number of
+// headers and the length of a head are bounded.
+func TestResponseHeadIsBounded(t *testing.T) {
+	head := func(fields int, value string) []byte {
+		return []byte("HTTP/1.1 204 No Content\r\n" + strings.Repeat("a:"+value+"\r\n", fields) + "\r\n")
+	}
+	for _, test := range []struct {
+		name  string
+		text  []byte
+		valid bool
+	}{
+		{"as many headers as allowed", head(maxHeaderFields, "1"), true},
+		{"more headers than allowed", head(maxHeaderFields+1, "1"), false},
+		{"a head that is too long", head(1, strings.Repeat("x", maxHead)), false},
+	} {
+		resp, _, err := parseResponse(test.text)
+		if valid := resp != nil && err == nil; valid != test.valid {
+			t.Errorf("%s: response %v, error %v, want it to be valid: %v", test.name, resp, err, test.valid)
+		}
+	}
+}
