Keeper: bound the bodies of all calls together

Cause: each body was bounded, their sum was not.

Change: beyond its first 16 kB a body waits for its turn, eight are held at a time. A call without a turn in 5 s is answered 503, busy, with nothing done; polls of followers are smaller and never wait.

Evidence: TestHalfBodiesStayWithinMemory: 763 MB without the change, 53 MB with it.

--- a/internal/keeper/api.go
+++ b/internal/keeper/api.go
@@ -24,6 +24,7 @@
 	leases      *leaseTable
 	membership  *membership
 	replication *replication
+	bodies      *bodyLimiter
 }
 
 // endpoint handles one kind of call and returns the response. It may set headers of w but must not write to it.
@@ -49,6 +50,7 @@
 	for pattern, handle := range endpoints {
 		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
 			a.counters.calls.Add(1)
+			defer a.bodies.wrap(r)()
 			a.write(w, handle(w, r))
 		})
 	}
--- a/internal/keeper/connections_test.go
+++ b/internal/keeper/connections_test.go
@@ -1,6 +1,8 @@
 package keeper_test
 
 import (
+	"bytes"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -42,3 +44,32 @@
 		t.Errorf("the client that was idle longest is still connected: %v", err)
 	}
 }
+
+// Guards against a keeper that exceeds any memory limit: clients on all connections stop half way through the longest
+// body. A change with a small body is committed beside them.
+func TestHalfBodiesStayWithinMemory(t *testing.T) {
+	const declared, sent, clients = 4 << 20, 3 << 20, 200
+	g := startGroup(t, 1, nil)
+	head := fmt.Sprintf("POST /v1/changes HTTP/1.1\r\nHost: k\r\nContent-Length: %d\r\n\r\n", declared)
+	body := bytes.Repeat([]byte(" "), sent)
+	for range clients {
+		conn, err := net.Dial("tcp", g.members[0].options.HTTPAddr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		go func() { // returns when the keeper has read all of it, or the connection ends
+			_, _ = io.WriteString(conn, head)
+			_, _ = conn.Write(body)
+		}()
+	}
+	largest, began := 0, time.Now()
+	for ; time.Since(began) < 3*time.Second; time.Sleep(50 * time.Millisecond) {
+		largest = max(largest, residentKB(t, g.members[0].cmd.Process.Pid))
+	}
+	t.Logf("%d MB resident at most", largest>>10)
+	if largest > 2*maxIdleKB && !raceEnabled {
+		t.Errorf("%d kB resident beside half bodies, want at most %d", largest, 2*maxIdleKB)
+	}
+	g.change(0, put("first", "/settings/over-share-worth", "1"))
+}
--- a/internal/keeper/keeper.go
+++ b/internal/keeper/keeper.go
@@ -104,6 +104,7 @@
 		counters:     counters,
 	}
 	api := &api{
+		bodies:      newBodyLimiter(),
 		log:         options.Log,
 		counters:    counters,
 		changes:     newChangeService(options, machine, replication, proxy, counters),
--- a/internal/keeper/request.go
+++ b/internal/keeper/request.go
@@ -37,6 +37,9 @@
 		failure := errorResponse(http.StatusRequestEntityTooLarge, errorMalformed,
 			"the body has more than %d bytes", maxBytes)
 		return nil, &failure
+	case errors.Is(err, errManyLargeBodies):
+		failure := unavailableResponse(errorBusy, effectNone, "%v; try again later", err)
+		return nil, &failure
 	case err != nil:
 		failure := malformedResponse("the body cannot be read: %v", err)
 		return nil, &failure
