--- a/internal/fleettest/halfcalls_test.go
+++ b/internal/fleettest/halfcalls_test.go
@@ -24,14 +24,7 @@
 			for range connections {
 				OpenHalfCalls(t, listen, calls)
 			}
-			largest := int64(0)
-			for began := time.Now(); time.Since(began) < during; time.Sleep(50 * time.Millisecond) {
-				largest = max(largest, router.Usage().Resident)
-			}
-			t.Logf("%d MB resident at most, the limit is %d MB", largest>>20, memoryMB)
-			if largest > memoryMB<<20 {
-				t.Errorf("%d MB resident, the router's limit is %d MB", largest>>20, memoryMB)
-			}
+			router.checkResident(t, memoryMB, during)
 			client, err := Dial(router.Listen)
 			if err != nil {
 				t.Fatal(err)
@@ -43,3 +36,16 @@
 		})
 	}
 }
+
+// checkResident measures the resident memory of a router for some time and compares the largest value with a limit.
+func (p *Router) checkResident(t *testing.T, limitMB int64, during time.Duration) {
+	t.Helper()
+	largest := int64(0)
+	for began := time.Now(); time.Since(began) < during; time.Sleep(50 * time.Millisecond) {
+		largest = max(largest, p.Usage().Resident)
+	}
+	t.Logf("%d MB resident at most, the limit is %d MB", largest>>20, limitMB)
+	if largest > limitMB<<20 {
+		t.Errorf("%d MB resident, the router's limit is %d MB", largest>>20, limitMB)
+	}
+}
--- a/internal/fleettest/halfpackets_test.go
+++ b/internal/fleettest/halfpackets_test.go
@@ -35,14 +35,7 @@
 			})
 			router.Ready()
 			slowClients(t, router.Listen, clients, sent)
-			largest := int64(0)
-			for began := time.Now(); time.Since(began) < during; time.Sleep(50 * time.Millisecond) {
-				largest = max(largest, router.Usage().Resident)
-			}
-			t.Logf("%d MB resident at most, the limit is %d MB", largest>>20, memoryMB)
-			if largest > memoryMB<<20 {
-				t.Errorf("%d MB resident, the router's limit is %d MB", largest>>20, memoryMB)
-			}
+			router.checkResident(t, memoryMB, during)
 			client, err := Dial(router.Listen)
 			if err != nil {
 				t.Fatal(err)
