--- a/internal/netio/inbound.go
+++ b/internal/netio/inbound.go
@@ -5,6 +5,9 @@
 const (
 	// clientQuantum is the number of bytes of one client that the loop handles before it turns to the next connection.
 	clientQuantum = 4 << 10
+	// maxBatch is the number of bytes of answers that are collected before they are sent. It is well below maxUnwritten,
+	// which a single write must not exceed.
+	maxBatch = 32 << 10
 	// maxBacklogWaitMS limits the wait for the handling of all that was read, in milliseconds.
 	maxBacklogWaitMS = 200.0
 )
--- a/internal/netio/socket.go
+++ b/internal/netio/socket.go
@@ -150,19 +150,22 @@
 }
 
 // Write implements Conn.
-func (s *socket) Write(b []byte) error {
+func (s *socket) Write(data []byte) error {
 	if s.adopting && !s.closed {
-		s.earlyWrites = append(s.earlyWrites, b...)
+		s.earlyWrites = append(s.earlyWrites, data...)
 		return nil
 	}
 	if s.conn == nil || s.closed {
 		return net.ErrClosed
 	}
 	if s.batching {
-		s.batch = append(s.batch, b...)
-		return nil
+		s.batch = append(s.batch, data...)
+		if len(s.batch) < maxBatch {
+			return nil
+		}
+		data, s.batch = s.batch, nil
 	}
-	_, err := s.conn.Write(b) // nbio accepts all bytes, or returns an error, accepts none and closes the connection
+	_, err := s.conn.Write(data) // nbio accepts all bytes, or returns an error, accepts none and closes the connection
 	return err
 }
 
